--- /dev/null
+++ b/src/bookkeeping/model.cpp
@@ -0,0 +1,84 @@
+#include "bookkeeping/model.hpp"
+
+#include <algorithm>
+
+namespace poppystile::bookkeeping {
+
+std::uint32_t Job::take_waiting() {
+  std::uint32_t index = 0;
+  if (!returned.empty()) {
+    index = returned.back();
+    returned.pop_back();
+  } else {
+    while (fresh < spec().tasks && phases[fresh] != TaskPhase::waiting) ++fresh;
+    index = fresh++;
+    while (fresh < spec().tasks && phases[fresh] != TaskPhase::waiting) ++fresh;
+  }
+  phases[index] = TaskPhase::placed;
+  ++placed;
+  return index;
+}
+
+void Job::give_back(std::uint32_t index) {
+  phases[index] = TaskPhase::waiting;
+  --placed;
+  returned.push_back(index);
+}
+
+bool Machine::holds(const std::string& image) const {
+  return std::any_of(images.begin(), images.end(),
+                     [&](const CachedImage& each) { return each.name == image; });
+}
+
+void Machine::touch_image(const std::string& name, double gb) {
+  std::erase_if(images, [&](const CachedImage& each) { return each.name == name; });
+  images.push_back({name, gb});
+  double total = 0;
+  for (const auto& each : images) total += each.gb;
+  while (images.size() > 1 && total > cache_gb) {
+    total -= images.front().gb;
+    images.erase(images.begin());
+  }
+}
+
+Placement* Machine::find(const std::string& job, std::uint32_t index, std::uint64_t attempt) {
+  for (auto& each : placements)
+    if (each.index == index && each.attempt == attempt && each.job == job) return &each;
+  return nullptr;
+}
+
+MachineRecord Machine::record() const {
+  MachineRecord out{type, zone, spot, session, hired_wall_s, {}, images};
+  for (const auto& each : placements)
+    if (!each.ended) out.tasks.push_back({each.job, each.index, each.attempt});
+  return out;
+}
+
+Job* Model::job(const std::string& id) {
+  const auto it = jobs.find(id);
+  return it == jobs.end() ? nullptr : &it->second;
+}
+
+void Model::place(Machine& machine, Job& job, std::uint64_t attempt, double now_s) {
+  Placement placement;
+  placement.job = job.spec().id;
+  placement.index = job.take_waiting();
+  placement.attempt = attempt;
+  placement.each = job.spec().each;
+  placement.since_s = now_s;
+  machine.used += placement.each;
+  teams[job.spec().team].used += placement.each;
+  machine.placements.push_back(std::move(placement));
+  machine.dirty = true;
+}
+
+void Model::vacate(Machine& machine, Placement& placement) {
+  if (placement.phase == PlacementPhase::exited) return;
+  Job* owner = job(placement.job);
+  if (placement.phase == PlacementPhase::running && owner != nullptr) --owner->running;
+  placement.phase = PlacementPhase::exited;
+  machine.used -= placement.each;
+  if (owner != nullptr) teams[owner->spec().team].used -= placement.each;
+}
+
+}  // namespace poppystile::bookkeeping
--- /dev/null
+++ b/src/constants.hpp
@@ -0,0 +1,122 @@
+// Every constant of the service, with its unit and the reason for its value.
+// Nothing here describes one deployment: what depends on a site is derived from its settings.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace poppystile::constants {
+
+// --- transport ---
+// bytes; PROTOCOL bounds a request body at 64 KiB.
+inline constexpr std::size_t max_request_body_bytes = 64 * 1024;
+// bytes; answers of the state service may hold 512 KiB of entries, watches have no bound.
+inline constexpr std::size_t max_response_body_bytes = 64 * 1024 * 1024;
+// seconds; a half-open connection is dropped after this much silence. Users poll every 5 s.
+inline constexpr double server_idle_s = 75.0;
+// share of the socket limit that incoming connections may use; the rest is for our own calls.
+inline constexpr double server_socket_share = 0.75;
+// connections per remote service; enough to hide latency, far below any socket limit.
+inline constexpr std::size_t client_connections = 24;
+// waiting calls per remote service before new ones are refused at once.
+inline constexpr std::size_t client_backlog = 512;
+// bytes; a frame between siblings holds a short status, anything larger is garbage.
+inline constexpr std::size_t max_peer_frame_bytes = 256 * 1024;
+
+// --- state service ---
+// seconds; answers usually take 10 ms and now and then a few hundred.
+inline constexpr double state_timeout_s = 2.0;
+// seconds; how long a watch is held open, and the slack before it counts as stuck.
+inline constexpr double watch_hold_s = 8.0;
+inline constexpr double watch_slack_s = 3.0;
+// seconds; pause before the state service is asked again after a failure.
+inline constexpr double state_retry_s = 0.25;
+// share of the published limits a leader and a follower use; two followers and one leader stay
+// below the whole.
+inline constexpr double leader_rate_share = 0.6;
+inline constexpr double follower_rate_share = 0.17;
+// keys a page; PROTOCOL allows 1,000 or 512 KiB.
+inline constexpr int list_page = 500;
+
+// --- leadership ---
+// milliseconds; life of the leader's grant: long enough to ride out lost packets and slow
+// answers, short enough that workers' leases outlast a takeover.
+inline constexpr int grant_ttl_ms = 4000;
+// seconds between renewals; three tries fit in the grant's life.
+inline constexpr double grant_renew_s = 1.0;
+// seconds; a call that renews must answer within this to count.
+inline constexpr double grant_timeout_s = 1.5;
+// fraction; the bound PROTOCOL gives for drift of steady clocks, doubled for two clocks.
+inline constexpr double clock_drift = 0.001;
+// seconds; allowance for late timers and packets wherever a lease is waited out.
+inline constexpr double lease_margin_s = 1.0;
+// seconds between status frames to siblings.
+inline constexpr double peer_beat_s = 1.0;
+// seconds; a sibling's word is believed for this long.
+inline constexpr double peer_fresh_s = 3.0;
+
+// --- users ---
+// seconds; polls are gathered this long and checked in one comparison.
+inline constexpr double poll_gather_s = 0.015;
+// seconds; a submission held up by the state service's rate limit is tried again this long.
+inline constexpr double accept_patience_s = 1.0;
+// seconds told to a user in Retry-After.
+inline constexpr int retry_after_s = 1;
+// tasks; PROTOCOL's bound on one job.
+inline constexpr std::uint64_t max_tasks = 100'000;
+// bytes; longest job id accepted, so that every key made of it stays below 200 bytes.
+inline constexpr std::size_t max_id_bytes = 40;
+// bytes; a submission's texts are short names. Keeps a job record below the value limit.
+inline constexpr std::size_t max_name_bytes = 200;
+
+// --- records ---
+// tasks a done bitmap holds; hex of 16,000 bits is 4,000 bytes, half of the smallest value limit.
+inline constexpr std::uint32_t bitmap_chunk_tasks = 16'000;
+// tasks one machine record names at most; keeps the record below the value limit.
+inline constexpr std::size_t max_tasks_per_machine = 150;
+// seconds between passes of the record writer.
+inline constexpr double write_pass_s = 0.04;
+// bits of an attempt number left to count within one leader's token.
+inline constexpr int attempt_bits = 24;
+
+// --- planning ---
+// units; the paper's cost of a task with its image at hand and without (section 3.1).
+inline constexpr double local_units = 1.0;
+inline constexpr double remote_units = 3.0;
+// units; how far the bound may rise above its start while remote placement goes on (ours, open).
+inline constexpr double remote_offset_units = 1.0;
+// seconds between plans at most; a plan costs processor time that reports need too.
+inline constexpr double plan_gap_s = 0.2;
+// seconds; a run time is never believed to be shorter, so that loads stay finite.
+inline constexpr double least_estimate_s = 1.0;
+// rounds after which a bound that places nothing more is given up.
+inline constexpr int max_bound_rounds = 400;
+
+// --- machines ---
+// times the type's boot time after which a machine that never reported is given back.
+inline constexpr double boot_patience = 4.0;
+// seconds added to it, for types that boot at once.
+inline constexpr double boot_patience_floor_s = 30.0;
+// seconds a machine may stay silent beyond its lease before it is given back.
+inline constexpr double silence_grace_s = 25.0;
+// seconds a machine stays idle before it is given back; deleting costs at least 60 s of rent.
+inline constexpr double idle_keep_s = 40.0;
+// failures in a row, of different jobs, that put a machine in quarantine.
+inline constexpr int quarantine_failures = 3;
+// seconds; first and longest pause before a failed task is tried again.
+inline constexpr double retry_first_s = 1.0;
+inline constexpr double retry_most_s = 60.0;
+// seconds between machine lists.
+inline constexpr double list_every_s = 5.0;
+// seconds; pause before a type and zone that had no capacity is asked again.
+inline constexpr double no_capacity_pause_s = 15.0;
+// seconds; a cloud call is given up after this.
+inline constexpr double cloud_timeout_s = 8.0;
+// seconds between passes over the fleet's size.
+inline constexpr double fleet_pass_s = 1.0;
+// machines in one rental request; PROTOCOL's bound.
+inline constexpr int max_hire = 50;
+// share of the running services' cores kept free or booting for the next ones.
+inline constexpr double service_reserve = 0.12;
+
+}  // namespace poppystile::constants
--- /dev/null
+++ b/src/coordination/cloud_desk.cpp
@@ -0,0 +1,319 @@
+#include "coordination/cloud_desk.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace poppystile::coordination {
+
+using bookkeeping::Machine;
+using protocol::MachineType;
+using transport::HttpResponse;
+
+namespace {
+constexpr double catalog_every_s = 60;  // seconds; prices move slowly
+constexpr double ask_again_s = 2;       // seconds before an unanswered rental is asked for again
+constexpr std::size_t most_released = 100;  // names; PROTOCOL's bound on one release
+constexpr std::size_t most_hires = 12;      // rentals under way at once, far below the cloud's rate
+}  // namespace
+
+CloudDesk::CloudDesk(transport::Runtime& runtime, transport::HttpCaller& http, StateStore& store,
+                     Directory& directory, Leadership& leadership,
+                     const protocol::Settings& settings, const protocol::Properties& properties)
+    : runtime_(runtime),
+      http_(http),
+      store_(store),
+      directory_(directory),
+      leadership_(leadership),
+      settings_(settings),
+      properties_(properties),
+      budget_(settings.cloud_rps, runtime.now_s()) {
+  budget_.set_share(constants::leader_rate_share);
+}
+
+void CloudDesk::begin(bookkeeping::Model& model, const protocol::EntryPage& hires) {
+  ++term_;
+  model_ = &model;
+  began_s_ = runtime_.now_s();
+  hires_.clear();
+  to_release_.clear();
+  released_.clear();
+  listing_ = releasing_ = catalog_busy_ = false;
+  if (types_.empty()) types_ = directory_.types();
+  for (const auto& each : hires.entries) {
+    try {
+      Hire hire{bookkeeping::decode_hire(each.value), each.version, true};
+      hires_[each.key.substr(bookkeeping::keys::hires.size())] = hire;
+    } catch (const protocol::DecodeError& problem) {
+      spdlog::error("record ignored key={} why=\"{}\"", each.key, problem.what());
+    }
+  }
+}
+
+void CloudDesk::end() {
+  ++term_;
+  model_ = nullptr;
+}
+
+const MachineType* CloudDesk::type(const std::string& name) const {
+  for (const auto& each : types_)
+    if (each.name == name) return &each;
+  return nullptr;
+}
+
+bool CloudDesk::fill_in(Machine& machine) const {
+  const MachineType* known = type(machine.type);
+  if (known == nullptr) return false;
+  machine.size = known->size;
+  machine.fetch_gb_per_s = known->fetch_gb_per_s;
+  machine.cache_gb = known->cache_gb;
+  return true;
+}
+
+bool CloudDesk::affordable() { return budget_.take(1, false, runtime_.now_s()); }
+
+void CloudDesk::call(transport::HttpRequest request, std::function<void(HttpResponse)> done) {
+  const std::uint64_t term = term_;
+  http_.call(settings_.cloud, std::move(request), constants::cloud_timeout_s,
+             [this, term, done = std::move(done)](HttpResponse response) {
+               if (term == term_ && model_ != nullptr) done(std::move(response));
+             });
+}
+
+void CloudDesk::pass() {
+  if (model_ == nullptr) return;
+  const double now = runtime_.now_s();
+  if (!catalog_busy_ && (catalog_s_ == 0 || now - catalog_s_ > catalog_every_s) && affordable())
+    fetch_catalog();
+  if (types_.empty()) return;
+  for (auto& [name, hire] : hires_)
+    if (hire.recorded && !hire.asking && !hire.settled && hire.ask_at_s <= now && affordable())
+      ask_for_machines(name, hire);
+  if (now - sized_s_ >= constants::fleet_pass_s) {
+    sized_s_ = now;
+    give_back_lost();
+    size_fleet();
+  }
+  release_due();
+  if (!listing_ && now - list_s_ >= constants::list_every_s && affordable()) read_list("");
+}
+
+// --- catalog ---
+
+void CloudDesk::fetch_catalog() {
+  catalog_busy_ = true;
+  call({"GET", protocol::catalog_path, ""}, [this](HttpResponse response) {
+    catalog_busy_ = false;
+    if (response.status != 200) return;
+    try {
+      types_ = protocol::parse_catalog(protocol::parse_object(response.body));
+    } catch (const protocol::DecodeError& problem) {
+      return spdlog::info("catalog malformed why=\"{}\"", problem.what());
+    }
+    catalog_s_ = runtime_.now_s();
+    record_catalog(types_);
+  });
+}
+
+// Recorded once, so that a node that starts while the cloud is down can still judge submissions.
+void CloudDesk::record_catalog(const std::vector<MachineType>& types) {
+  if (directory_.catalog_version() != 0) return;
+  const protocol::Json value = bookkeeping::encode_catalog(types);
+  protocol::Transaction transaction;
+  transaction.conditions = {leadership_.fence(), {bookkeeping::keys::catalog, 0}};
+  transaction.changes = {{bookkeeping::keys::catalog, value.dump(), 0}};
+  store_.transact(std::move(transaction), Urgency::user, [this, value](TransactionResult result) {
+    if (result.outcome == Outcome::ok)
+      return directory_.learn(bookkeeping::keys::catalog, value, result.revision);
+    catalog_s_ = 0;  // asked for and offered again
+  });
+}
+
+// --- rentals ---
+
+void CloudDesk::ask_for_machines(const std::string& name, Hire& hire) {
+  hire.asking = true;
+  const auto& want = hire.record;
+  call({"POST", protocol::hire_path,
+        protocol::encode_hire(name, want.type, want.zone, want.spot, want.count)},
+       [this, name](HttpResponse response) {
+         const auto it = hires_.find(name);
+         if (it == hires_.end()) return;
+         Hire& asked = it->second;
+         asked.asking = false;
+         asked.ask_at_s = runtime_.now_s() + ask_again_s;
+         if (response.status == 200) return hired(name, response.body);
+         const bool refused =
+             response.status == 400 ||
+             (response.status == 503 && response.body.find("no capacity") != std::string::npos);
+         if (!refused) return;
+         const auto& record = asked.record;
+         spdlog::info("rental refused name={} type={} zone={} spot={} status={}", name, record.type,
+                      record.zone, record.spot, response.status);
+         refused_until_[{record.type, record.zone, record.spot}] =
+             runtime_.now_s() + constants::no_capacity_pause_s;
+         asked.settled = true;
+       });
+}
+
+void CloudDesk::hired(const std::string& name, const std::string& body) {
+  Hire& hire = hires_[name];
+  std::vector<std::string> ids;
+  try {
+    ids = protocol::parse_hired(body);
+  } catch (const protocol::DecodeError& problem) {
+    return spdlog::info("rental answer malformed name={} why=\"{}\"", name, problem.what());
+  }
+  hire.settled = true;
+  const auto& record = hire.record;
+  spdlog::info("rented name={} type={} zone={} spot={} asked={} got={}", name, record.type,
+               record.zone, record.spot, record.count, ids.size());
+  if (static_cast<int>(ids.size()) < record.count)
+    refused_until_[{record.type, record.zone, record.spot}] =
+        runtime_.now_s() + constants::no_capacity_pause_s;
+  for (const auto& id : ids) {
+    if (model_->machines.contains(id) || released_.contains(id)) continue;
+    Machine machine;
+    machine.id = id;
+    machine.type = record.type;
+    machine.zone = record.zone;
+    machine.spot = record.spot;
+    machine.hired_wall_s = runtime_.wall_s();
+    machine.dirty = true;
+    if (fill_in(machine)) model_->machines.emplace(id, std::move(machine));
+  }
+}
+
+void CloudDesk::size_fleet() {
+  planning::FleetContext context;
+  context.now_s = runtime_.now_s();
+  context.now_wall_s = runtime_.wall_s();
+  context.types = &types_;
+  context.teams = &settings_.teams;
+  context.idle_keep_s = properties_.idle_keep_s;
+  context.service_reserve = properties_.service_reserve;
+  for (const auto& [offer, until] : refused_until_)
+    if (until > context.now_s) context.refused.insert(offer);
+  for (const auto& [name, hire] : hires_)
+    if (!hire.settled)
+      context.underway.push_back(
+          {{hire.record.type, hire.record.zone, hire.record.spot}, hire.record.count});
+  const planning::FleetPlan plan = planning::plan_fleet(*model_, context);
+  for (const auto& want : plan.hire) {
+    if (hires_.size() >= most_hires) break;
+    // The token makes the name this leader's own: it is never used again.
+    const std::string name =
+        "h-" + std::to_string(leadership_.token()) + "-" + std::to_string(++names_);
+    hires_[name] = {{want.offer.type, want.offer.zone, want.offer.spot, want.count}};
+  }
+  for (const auto& id : plan.release) {
+    model_->machines.at(id).releasing = true;
+    to_release_.insert(id);
+  }
+}
+
+// --- releases ---
+
+// Machines that never came up, fell silent for good, or fail everything.
+void CloudDesk::give_back_lost() {
+  const double now = runtime_.now_s();
+  for (auto& [id, machine] : model_->machines) {
+    if (machine.releasing || machine.gone) continue;
+    std::string why;
+    const double silent = now - std::max(machine.last_answer_s, began_s_);
+    const MachineType* known = type(machine.type);
+    const double boot = known == nullptr ? 0 : known->boot_s;
+    if (machine.session == 0) {
+      const double age = runtime_.wall_s() - machine.hired_wall_s;
+      if (age > boot * constants::boot_patience + constants::boot_patience_floor_s)
+        why = "never came up";
+    } else if (silent > settings_.lease_s + constants::silence_grace_s) {
+      why = "silent";
+    } else if (machine.quarantined &&
+               std::all_of(machine.placements.begin(), machine.placements.end(),
+                           [](const auto& each) { return each.ended; })) {
+      why = "quarantined";
+    }
+    if (why.empty()) continue;
+    spdlog::info("machine given back id={} why=\"{}\"", id, why);
+    machine.releasing = true;
+    to_release_.insert(id);
+  }
+}
+
+void CloudDesk::release_due() {
+  const double now = runtime_.now_s();
+  if (releasing_ || to_release_.empty() || now < release_s_ || !affordable()) return;
+  std::vector<std::string> batch;
+  for (const auto& id : to_release_) {
+    batch.push_back(id);
+    if (batch.size() == most_released) break;
+  }
+  release(batch);
+}
+
+void CloudDesk::release(const std::vector<std::string>& machines) {
+  releasing_ = true;
+  call({"POST", protocol::release_path, protocol::encode_release(machines)},
+       [this, machines](HttpResponse response) {
+         releasing_ = false;
+         release_s_ = runtime_.now_s() + (response.status == 200 ? 0 : 1);
+         if (response.status != 200) return;
+         for (const auto& id : machines) {
+           to_release_.erase(id);
+           released_.insert(id);
+           const auto it = model_->machines.find(id);
+           if (it == model_->machines.end()) continue;
+           spdlog::info("machine released id={}", id);
+           on_gone_(it->second, "released");
+         }
+       });
+}
+
+// --- lists ---
+
+void CloudDesk::read_list(const std::string& after) {
+  listing_ = true;
+  call({"GET", protocol::list_path(after), ""}, [this](HttpResponse response) {
+    listing_ = false;
+    list_s_ = runtime_.now_s();
+    if (response.status != 200) return;
+    protocol::MachineList list;
+    try {
+      list = protocol::parse_machine_list(response.body);
+    } catch (const protocol::DecodeError& problem) {
+      return spdlog::info("machine list malformed why=\"{}\"", problem.what());
+    }
+    for (const auto& each : list.machines) listed(each);
+    if (list.more && !list.machines.empty()) read_list(list.machines.back().id);
+  });
+}
+
+// A list lags and may be older than the one before: what it shows of a machine that is there is
+// true at some time, what it does not show proves nothing. `failed` is final.
+void CloudDesk::listed(const protocol::ListedMachine& machine) {
+  if (released_.contains(machine.id)) return;
+  auto it = model_->machines.find(machine.id);
+  if (it == model_->machines.end()) {
+    Machine fresh;
+    fresh.id = machine.id;
+    fresh.type = machine.type;
+    fresh.zone = machine.zone;
+    fresh.spot = machine.spot;
+    fresh.hired_wall_s = runtime_.wall_s() - machine.age_s;
+    fresh.dirty = true;
+    if (!fill_in(fresh)) return;
+    spdlog::info("machine adopted from the list id={}", machine.id);
+    it = model_->machines.emplace(machine.id, std::move(fresh)).first;
+  }
+  if (machine.state == protocol::MachineState::failed && !it->second.releasing) {
+    spdlog::info("machine failed id={}", machine.id);
+    it->second.releasing = true;
+    to_release_.insert(machine.id);
+  }
+}
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/cloud_desk.hpp
@@ -0,0 +1,91 @@
+// Dealings with the cloud: the catalog, rentals by recorded intent, releases, lists.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/model.hpp"
+#include "coordination/directory.hpp"
+#include "coordination/leadership.hpp"
+#include "coordination/record_writer.hpp"
+#include "planning/fleet.hpp"
+#include "protocol/properties.hpp"
+#include "protocol/settings.hpp"
+#include "transport/http.hpp"
+
+namespace poppystile::coordination {
+
+// A rental on its way: recorded, then asked for under its name until there is an answer.
+struct Hire {
+  bookkeeping::HireRecord record;
+  std::uint64_t version = 0;
+  bool recorded = false;
+  bool asking = false;
+  bool settled = false;  // its record is to go
+  double ask_at_s = 0;
+};
+
+class CloudDesk {
+ public:
+  CloudDesk(transport::Runtime& runtime, transport::HttpCaller& http, StateStore& store,
+            Directory& directory, Leadership& leadership, const protocol::Settings& settings,
+            const protocol::Properties& properties);
+
+  void begin(bookkeeping::Model& model, const protocol::EntryPage& hires);
+  void end();
+  void pass();  // called often while leading
+  std::map<std::string, Hire>& hires() { return hires_; }
+  bool released(const std::string& machine) const { return released_.contains(machine); }
+  const protocol::MachineType* type(const std::string& name) const;
+  // A machine's fields that follow from its type.
+  bool fill_in(bookkeeping::Machine& machine) const;
+  // Tells that everything on a machine is proven gone.
+  void on_gone(std::function<void(bookkeeping::Machine&, const std::string&)> handler) {
+    on_gone_ = std::move(handler);
+  }
+
+ private:
+  void call(transport::HttpRequest request, std::function<void(transport::HttpResponse)> done);
+  bool affordable();
+  void fetch_catalog();
+  void record_catalog(const std::vector<protocol::MachineType>& types);
+  void ask_for_machines(const std::string& name, Hire& hire);
+  void hired(const std::string& name, const std::string& body);
+  void give_back_lost();
+  void size_fleet();
+  void release(const std::vector<std::string>& machines);
+  void release_due();
+  void read_list(const std::string& after);
+  void listed(const protocol::ListedMachine& machine);
+
+  transport::Runtime& runtime_;
+  transport::HttpCaller& http_;
+  StateStore& store_;
+  Directory& directory_;
+  Leadership& leadership_;
+  const protocol::Settings& settings_;
+  const protocol::Properties& properties_;
+  bookkeeping::Model* model_ = nullptr;
+  std::vector<protocol::MachineType> types_;  // with current prices; the directory's until then
+  std::map<std::string, Hire> hires_;
+  std::set<std::string> to_release_;
+  std::set<std::string> released_;
+  std::map<planning::Offer, double> refused_until_;
+  RateBudget budget_;
+  std::uint64_t names_ = 0;
+  std::uint64_t term_ = 0;
+  double began_s_ = 0;
+  double catalog_s_ = 0;
+  double list_s_ = 0;
+  double sized_s_ = 0;
+  double release_s_ = 0;
+  bool listing_ = false;
+  bool releasing_ = false;
+  bool catalog_busy_ = false;
+  std::function<void(bookkeeping::Machine&, const std::string&)> on_gone_;
+};
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/directory.cpp
@@ -0,0 +1,110 @@
+#include "coordination/directory.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "constants.hpp"
+
+namespace poppystile::coordination {
+
+namespace keys = bookkeeping::keys;
+using protocol::Json;
+
+Directory::Directory(transport::Runtime& runtime, StateStore& store)
+    : runtime_(runtime), store_(store) {}
+
+const KnownJob* Directory::job(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+std::optional<protocol::JobState> Directory::final_state(const std::string& id) const {
+  const auto it = over_.find(id);
+  if (it == over_.end()) return std::nullopt;
+  return it->second;
+}
+
+void Directory::load() {
+  store_.list_all(keys::shared, Urgency::user, [this](Outcome outcome, protocol::EntryPage all) {
+    if (outcome != Outcome::ok) {
+      runtime_.after(constants::state_retry_s, [this] { load(); });
+      return;
+    }
+    // After a gap in the watch, what is not listed any more has been deleted meanwhile.
+    std::map<std::string, bool> listed;
+    for (const auto& each : all.entries) listed[each.key] = true;
+    std::vector<std::string> vanished;
+    for (const auto& [id, known] : jobs_)
+      if (!listed.contains(bookkeeping::job_key(id)) && known.version <= all.revision)
+        vanished.push_back(id);
+    for (const auto& each : all.entries) apply(each.key, each.value, each.version);
+    for (const auto& id : vanished) apply_job(id, std::nullopt, all.revision);
+    if (!listed.contains(keys::leader)) apply(keys::leader, std::nullopt, all.revision);
+    if (!loaded_) spdlog::info("directory loaded jobs={} over={}", jobs_.size(), over_.size());
+    loaded_ = true;
+    revision_ = std::max(revision_, all.revision);
+    if (on_leader_) on_leader_();
+    follow(all.revision);
+  });
+}
+
+void Directory::follow(std::uint64_t after) {
+  store_.watch(keys::shared, after, [this, after](Outcome outcome, protocol::WatchPage page) {
+    if (outcome == Outcome::conflict) return load();
+    if (outcome != Outcome::ok) {
+      runtime_.after(constants::state_retry_s, [this, after] { follow(after); });
+      return;
+    }
+    for (const auto& each : page.events) apply(each.key, each.value, each.version);
+    revision_ = std::max(revision_, page.revision);
+    follow(std::max(after, page.revision));
+  });
+}
+
+void Directory::learn(const std::string& key, const std::optional<Json>& value,
+                      std::uint64_t version) {
+  apply(key, value, version);
+}
+
+void Directory::apply(const std::string& key, const std::optional<Json>& value,
+                      std::uint64_t version) {
+  try {
+    if (key.starts_with(keys::jobs)) {
+      apply_job(key.substr(keys::jobs.size()), value, version);
+    } else if (key.starts_with(keys::over)) {
+      // Final: whatever is written there is never changed or removed.
+      if (value) over_.emplace(key.substr(keys::over.size()), bookkeeping::decode_over(*value));
+    } else if (key == keys::leader) {
+      if (version < leader_seen_) return;
+      leader_seen_ = version;
+      leader_.reset();
+      if (value) leader_ = KnownLeader{bookkeeping::decode_leader(*value), version};
+      if (loaded_ && on_leader_) on_leader_();
+    } else if (key == keys::token && value && version > token_version_) {
+      token_ = bookkeeping::decode_token(*value);
+      token_version_ = version;
+    } else if (key == keys::catalog && value && version > catalog_version_) {
+      types_ = bookkeeping::decode_catalog(*value);
+      catalog_version_ = version;
+    }
+  } catch (const protocol::DecodeError& problem) {
+    spdlog::error("record ignored key={} why=\"{}\"", key, problem.what());
+  }
+}
+
+void Directory::apply_job(const std::string& id, const std::optional<Json>& value,
+                          std::uint64_t version) {
+  const auto known = jobs_.find(id);
+  if (known != jobs_.end() && version <= known->second.version) return;
+  if (value) {
+    // A record read long ago must not bring back a job that is over.
+    if (over_.contains(id)) return;
+    jobs_[id] = {bookkeeping::decode_job(*value), version};
+  } else if (known != jobs_.end()) {
+    jobs_.erase(known);
+  } else {
+    return;
+  }
+  if (on_job_) on_job_(id);
+}
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,171 @@
+#include "coordination/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+
+namespace poppystile::coordination {
+
+using protocol::UserPath;
+using transport::HttpRequest;
+using transport::Respond;
+
+namespace {
+constexpr std::size_t most_told_jobs = 3000;  // jobs whose counts fit well into one peer frame
+constexpr double contact_stale_s = 3;         // seconds without an answer that count as cut off
+}  // namespace
+
+Node::Node(transport::Runtime& runtime, transport::HttpCaller& http, transport::PeerNet& peers,
+           const protocol::Settings& settings, const protocol::Properties& properties,
+           std::uint64_t seed)
+    : runtime_(runtime),
+      peers_(peers),
+      settings_(settings),
+      store_(runtime, http, settings),
+      directory_(runtime, store_),
+      leadership_(runtime, store_, directory_, settings.name, seed),
+      cloud_(runtime, http, store_, directory_, leadership_, settings, properties),
+      dispatcher_(runtime, store_, directory_, leadership_, cloud_, settings, properties),
+      users_(runtime, store_, directory_, settings,
+             [this](const std::string& job) { return counts(job); }) {}
+
+void Node::start() {
+  peers_.on_frame([this](const std::string& frame) { heard(frame); });
+  directory_.start();
+  leadership_.start();
+  dispatcher_.start();
+  beat();
+}
+
+TaskCounts Node::counts(const std::string& job) const {
+  if (leadership_.leading()) return dispatcher_.counts(job);
+  const auto told = told_counts_.find(job);
+  return told == told_counts_.end() ? TaskCounts{} : told->second;
+}
+
+// --- siblings ---
+
+void Node::beat() {
+  runtime_.after(constants::peer_beat_s, [this] { beat(); });
+  // Keeps the knowledge of the state service fresh on a node that nobody asks anything.
+  if (runtime_.now_s() - store_.last_contact_s() > constants::peer_beat_s)
+    store_.get(bookkeeping::keys::token, Urgency::rest, [](Outcome, auto) {});
+  protocol::PeerStatus status;
+  status.name = settings_.name;
+  status.token = std::max(directory_.token(), leadership_.token());
+  status.leading = leadership_.leading();
+  status.sent_wall_s = runtime_.wall_s();
+  status.state_wall_s = store_.last_contact_wall_s();
+  if (status.leading)
+    for (const auto& id : dispatcher_.job_ids(most_told_jobs)) {
+      const TaskCounts counts = dispatcher_.counts(id);
+      if (counts.done + counts.running > 0)
+        status.counts.push_back({id, counts.done, counts.running});
+    }
+  peers_.broadcast(protocol::encode_peer_status(status));
+}
+
+void Node::heard(const std::string& frame) {
+  auto status = protocol::decode_peer_status(frame);
+  if (!status) return spdlog::info("peer frame malformed bytes={}", frame.size());
+  const bool known = std::any_of(settings_.siblings.begin(), settings_.siblings.end(),
+                                 [&](const auto& each) { return each.name == status->name; });
+  auto& last = siblings_[status->name];
+  // Frames held back by a cut arrive late; an older one says nothing new.
+  if (!known || status->sent_wall_s < last.sent_wall_s) return;
+  last = std::move(*status);
+  if (last.leading) {
+    told_counts_.clear();
+    for (const auto& each : last.counts) told_counts_[each.job] = {each.done, each.running};
+  }
+  if (!leadership_.leading()) return;
+  if (last.token > leadership_.token())
+    return leadership_.step_down("a sibling knows a higher token");
+  // Our grant has run out unless the whole state service is down; a sibling it answers proves
+  // that it is not.
+  const double silent = runtime_.now_s() - leadership_.confirmed_s();
+  const double grant = constants::grant_ttl_ms / 1000.0 + constants::lease_margin_s;
+  const double reached_ago = runtime_.wall_s() - last.state_wall_s;
+  if (silent > grant && reached_ago + grant < silent - settings_.clock_bound_s)
+    leadership_.step_down("a sibling reaches the state service");
+}
+
+double Node::sent_steady_s(const protocol::PeerStatus& status) const {
+  const double age = runtime_.wall_s() - status.sent_wall_s;
+  return runtime_.now_s() - std::max(0.0, age) - 2 * settings_.clock_bound_s;
+}
+
+// A cancellation accepted elsewhere must reach our workers within `cancel_s`, also when we are cut
+// off: then their leases must have ended by then. A sibling that cannot reach the state service
+// either, and had no answer since our own last one, can have accepted none.
+double Node::answer_until_s() const {
+  const double confirmed = leadership_.confirmed_s();
+  const double budget = settings_.cancel_s - settings_.lease_s * (1 + constants::clock_drift) -
+                        3 * constants::lease_margin_s;
+  const double confirmed_wall = runtime_.wall_s() - (runtime_.now_s() - confirmed);
+  double known_until = runtime_.now_s();
+  for (const auto& sibling : settings_.siblings) {
+    const auto found = siblings_.find(sibling.name);
+    const bool silent_since =
+        found != siblings_.end() &&
+        found->second.state_wall_s < confirmed_wall - 2 * settings_.clock_bound_s;
+    known_until = std::min(
+        known_until, silent_since ? std::max(confirmed, sent_steady_s(found->second)) : confirmed);
+  }
+  return std::max(confirmed, known_until) + budget;
+}
+
+// --- requests ---
+
+bool Node::takes_requests() const {
+  if (!directory_.loaded()) return false;
+  if (runtime_.now_s() - store_.last_contact_s() < contact_stale_s) return true;
+  // In an outage all nodes are alike, and being marked unhealthy would outlast it. A node that
+  // alone is cut off should be passed over.
+  return std::none_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
+    return runtime_.wall_s() - each.second.state_wall_s < contact_stale_s;
+  });
+}
+
+void Node::report(const std::string& body, const Respond& respond) {
+  protocol::Report report;
+  try {
+    report = protocol::parse_report(body);
+  } catch (const protocol::DecodeError& problem) {
+    spdlog::info("report malformed why=\"{}\"", problem.what());
+    return respond({400, protocol::encode_error(problem.what())});
+  }
+  if (leadership_.leading()) {
+    if (runtime_.now_s() > answer_until_s())
+      return respond({503, protocol::encode_error("cut off from the state service")});
+    return respond(dispatcher_.report(report));
+  }
+  const auto& leader = directory_.leader();
+  const bool elsewhere = leader && leader->record.name != settings_.name;
+  respond({421, protocol::encode_redirect(elsewhere ? leader->record.name : "")});
+}
+
+void Node::handle(const HttpRequest& request, Respond respond) {
+  using What = UserPath::What;
+  const UserPath path = protocol::parse_path(request.target);
+  if (path.what == What::none) return respond({404, protocol::encode_error("no such path")});
+  const bool reading = path.what == What::show || path.what == What::up;
+  if (request.method != (reading ? "GET" : "POST"))
+    return respond({405, protocol::encode_error("method not allowed")});
+  switch (path.what) {
+    case What::submit:
+      return users_.submit(request.body, std::move(respond));
+    case What::show:
+      return users_.show(path.id, std::move(respond));
+    case What::cancel:
+      return users_.cancel(path.id, std::move(respond));
+    case What::report:
+      return report(request.body, respond);
+    default:
+      return respond({takes_requests() ? 200 : 503, "{}"});
+  }
+}
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/node.hpp
@@ -0,0 +1,53 @@
+// One controller: wires the parts together and routes requests.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "coordination/cloud_desk.hpp"
+#include "coordination/directory.hpp"
+#include "coordination/dispatcher.hpp"
+#include "coordination/leadership.hpp"
+#include "coordination/state_store.hpp"
+#include "coordination/user_desk.hpp"
+#include "protocol/peer_messages.hpp"
+#include "protocol/properties.hpp"
+#include "protocol/settings.hpp"
+#include "transport/event_loop.hpp"
+#include "transport/http.hpp"
+#include "transport/peer_link.hpp"
+
+namespace poppystile::coordination {
+
+class Node {
+ public:
+  Node(transport::Runtime& runtime, transport::HttpCaller& http, transport::PeerNet& peers,
+       const protocol::Settings& settings, const protocol::Properties& properties,
+       std::uint64_t seed);
+  void start();
+  void handle(const transport::HttpRequest& request, transport::Respond respond);
+
+ private:
+  void beat();
+  void heard(const std::string& frame);
+  void report(const std::string& body, const transport::Respond& respond);
+  bool takes_requests() const;
+  // Steady time until which a leader may answer workers without new word from the state service.
+  double answer_until_s() const;
+  double sent_steady_s(const protocol::PeerStatus& status) const;
+  TaskCounts counts(const std::string& job) const;
+
+  transport::Runtime& runtime_;
+  transport::PeerNet& peers_;
+  const protocol::Settings& settings_;
+  StateStore store_;
+  Directory directory_;
+  Leadership leadership_;
+  CloudDesk cloud_;
+  Dispatcher dispatcher_;
+  UserDesk users_;
+  std::map<std::string, protocol::PeerStatus> siblings_;
+  std::map<std::string, TaskCounts> told_counts_;  // by the leader
+};
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/state_store.hpp
@@ -0,0 +1,103 @@
+// The state service as the coordination layer uses it: typed calls, rate limits, priorities.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "protocol/settings.hpp"
+#include "protocol/state_messages.hpp"
+#include "transport/event_loop.hpp"
+#include "transport/http.hpp"
+
+namespace poppystile::coordination {
+
+// Most urgent first. Renewals are never held back.
+enum class Urgency : std::uint8_t { lease, user, progress, placement, rest };
+
+enum class Outcome : std::uint8_t {
+  ok,
+  conflict,   // a condition failed; nothing was changed
+  throttled,  // 429: nothing was executed, the rate was too high
+  refused,    // 503: nothing was executed
+  lease_gone,
+  unknown  // no answer: it may have been executed, or be executed later
+};
+
+struct TransactionResult {
+  Outcome outcome = Outcome::unknown;
+  std::uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+
+// Spends a rate with bursts of one second's worth.
+class RateBudget {
+ public:
+  RateBudget(double rate, double now_s) : rate_(rate), left_(rate), at_s_(now_s) {}
+  void set_share(double share) { share_ = share; }
+  // Whether `amount` may be spent now; `overdraw` lets urgent calls go into debt by a second's
+  // worth of the whole rate.
+  bool take(double amount, bool overdraw, double now_s);
+  double wait_s(double amount) const;
+
+ private:
+  double rate_;
+  double share_ = 1;
+  double left_;
+  double at_s_;
+};
+
+class StateStore {
+ public:
+  StateStore(transport::Runtime& runtime, transport::HttpCaller& http,
+             const protocol::Settings& settings);
+
+  void set_share(double share);
+  // Steady time at which the newest answered call was sent; 0: never.
+  double last_contact_s() const { return last_contact_s_; }
+  // Time of day of the same.
+  double last_contact_wall_s() const { return last_contact_wall_s_; }
+
+  void get(const std::string& key, Urgency urgency,
+           std::function<void(Outcome, std::optional<protocol::Entry>)> done);
+  void list(const std::string& prefix, const std::string& after, Urgency urgency,
+            std::function<void(Outcome, protocol::EntryPage)> done);
+  // All pages of a prefix; the revision is the first page's.
+  void list_all(const std::string& prefix, Urgency urgency,
+                std::function<void(Outcome, protocol::EntryPage)> done);
+  void transact(protocol::Transaction transaction, Urgency urgency,
+                std::function<void(TransactionResult)> done);
+  void create_lease(int ttl_ms, std::function<void(Outcome, std::uint64_t)> done);
+  void renew_lease(std::uint64_t lease, std::function<void(Outcome)> done);
+  void drop_lease(std::uint64_t lease);
+  // Outcome conflict: `after` is too old, everything must be read again.
+  void watch(const std::string& prefix, std::uint64_t after,
+             std::function<void(Outcome, protocol::WatchPage)> done);
+
+ private:
+  struct Call {
+    transport::HttpRequest request;
+    double timeout_s = 0;
+    double writes = 0;
+    bool urgent = false;
+    std::function<void(transport::HttpResponse)> done;
+  };
+
+  void enqueue(Urgency urgency, Call call);
+  void pump();
+  void send(Call call);
+
+  transport::Runtime& runtime_;
+  transport::HttpCaller& http_;
+  transport::Endpoint endpoint_;
+  RateBudget requests_;
+  RateBudget writes_;
+  std::array<std::deque<Call>, 5> waiting_;
+  bool pump_set_ = false;
+  double last_contact_s_ = 0;
+  double last_contact_wall_s_ = 0;
+};
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/user_desk.hpp
@@ -0,0 +1,59 @@
+// Users' requests. Any node serves them, against the state service.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "coordination/directory.hpp"
+#include "coordination/state_store.hpp"
+#include "protocol/settings.hpp"
+#include "transport/http.hpp"
+
+namespace poppystile::coordination {
+
+struct TaskCounts {
+  std::uint64_t done = 0;
+  std::uint64_t running = 0;
+};
+
+class UserDesk {
+ public:
+  UserDesk(transport::Runtime& runtime, StateStore& store, Directory& directory,
+           const protocol::Settings& settings,
+           std::function<TaskCounts(const std::string&)> counts);
+
+  void submit(const std::string& body, transport::Respond respond);
+  void show(const std::string& id, transport::Respond respond);
+  void cancel(const std::string& id, transport::Respond respond);
+
+ private:
+  // What is certain about a job now.
+  enum class Certainty : std::uint8_t { live, over, absent, unsure };
+  using Verified = std::function<void(Certainty)>;
+  struct Question {
+    std::string id;
+    Verified answer;
+  };
+
+  void verify(const std::string& id, Verified answer);
+  void ask_gathered();
+  void ask(std::vector<Question> questions);
+  void read_again(const std::string& id, Verified answer);
+  void answer_current(const std::string& id, transport::Respond respond);
+  void answer_state(const std::string& id, bool as_poll, const transport::Respond& respond) const;
+  protocol::JobState state_of(const std::string& id) const;
+  std::string refusal(protocol::JobSpec& job) const;
+  void accept(protocol::JobSpec job, double since_s, transport::Respond respond);
+  void mark_cancelled(const std::string& id, double since_s, transport::Respond respond);
+  bool patient(double since_s) const;
+
+  transport::Runtime& runtime_;
+  StateStore& store_;
+  Directory& directory_;
+  const protocol::Settings& settings_;
+  std::function<TaskCounts(const std::string&)> counts_;
+  std::vector<Question> gathered_;
+};
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/planning/fleet.cpp
@@ -0,0 +1,206 @@
+#include "planning/fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+
+#include "constants.hpp"
+#include "planning/planner.hpp"
+
+namespace poppystile::planning {
+
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Model;
+using protocol::JobKind;
+using protocol::JobSpec;
+using protocol::MachineType;
+using protocol::Resources;
+
+namespace {
+
+// Room that exists or is booting, as the packing uses it up.
+struct Bin {
+  Machine like;  // only type, zone and spot matter
+  Resources room;
+};
+
+class Sizing {
+ public:
+  Sizing(const Model& model, const FleetContext& context) : model_(model), context_(context) {
+    for (const auto& [id, machine] : model.machines) {
+      if (!counts(machine)) continue;
+      bins_.push_back({bare(machine.type, machine.zone, machine.spot), machine.room()});
+    }
+    for (const auto& each : context.underway)
+      for (int i = 0; i < each.count; ++i) add_bin(each.offer);
+  }
+
+  FleetPlan run() {
+    std::vector<const Job*> jobs;
+    for (const auto& [id, job] : model_.jobs)
+      if (!job.record.cancelled && !job.closing) jobs.push_back(&job);
+    std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+      if (a->spec().kind != b->spec().kind) return a->spec().kind == JobKind::service;
+      return a->spec().priority > b->spec().priority;
+    });
+    note_team_use();
+    for (const Job* job : jobs) pack(job->spec(), wanted(*job));
+    pack_reserve(jobs);
+    FleetPlan plan;
+    for (const auto& [offer, count] : hires_)
+      plan.hire.push_back({offer, std::min(count, constants::max_hire)});
+    if (plan.hire.empty()) plan.release = idle_machines();
+    return plan;
+  }
+
+ private:
+  // Whether a machine is there, or booting, to take work.
+  static bool counts(const Machine& machine) {
+    return !machine.releasing && !machine.gone && !machine.recalled && !machine.quarantined &&
+           !machine.lost;
+  }
+
+  static Machine bare(const std::string& type, const std::string& zone, bool spot) {
+    Machine machine;
+    machine.type = type;
+    machine.zone = zone;
+    machine.spot = spot;
+    return machine;
+  }
+
+  const MachineType* type_of(const std::string& name) const {
+    for (const auto& each : *context_.types)
+      if (each.name == name) return &each;
+    return nullptr;
+  }
+
+  void add_bin(const Offer& offer) {
+    if (const MachineType* type = type_of(offer.type))
+      bins_.push_back({bare(offer.type, offer.zone, offer.spot), type->size});
+  }
+
+  void note_team_use() {
+    for (const auto& team : *context_.teams) {
+      const auto use = model_.teams.find(team.name);
+      const auto used = use == model_.teams.end() ? 0 : use->second.used.cpus;
+      team_left_[team.name] =
+          team.cpus_max > 0 ? std::llround(team.cpus_max * 1000) - used : std::int64_t{1} << 60;
+    }
+  }
+
+  // Tasks that need a place of their own soon. Arrays with time to spare share places: as many
+  // are wanted abreast as finish the work within the time that is left.
+  std::uint32_t wanted(const Job& job) const {
+    const JobSpec& spec = job.spec();
+    if (spec.kind == JobKind::service) return job.waiting();
+    const double expected = believed_run_s(spec);
+    const double age = context_.now_wall_s - job.record.accepted_wall_s;
+    const double left = spec.deadline_s ? *spec.deadline_s - age : 3 * expected;
+    const double waves = std::clamp(left / expected, 1.0, 4.0);
+    return static_cast<std::uint32_t>(std::ceil(job.waiting() / waves));
+  }
+
+  void pack(const JobSpec& spec, std::uint32_t count) {
+    auto& left = team_left_[spec.team];
+    if (spec.each.cpus > 0)
+      count = static_cast<std::uint32_t>(std::clamp<std::int64_t>(left / spec.each.cpus, 0, count));
+    left -= spec.each.cpus * count;
+    for (auto& bin : bins_) {
+      if (count == 0) return;
+      if (may_run_on(spec, bin.like)) count -= fill(bin, spec, count);
+    }
+    while (count > 0) {
+      const auto offer = cheapest(spec);
+      if (!offer) return;
+      add_bin(*offer);
+      const auto placed = fill(bins_.back(), spec, count);
+      if (placed == 0) return;
+      count -= placed;
+      ++hires_[*offer];
+    }
+  }
+
+  static std::uint32_t fill(Bin& bin, const JobSpec& spec, std::uint32_t count) {
+    const auto fits =
+        static_cast<std::uint32_t>(std::min<std::int64_t>(spec.each.times_in(bin.room), count));
+    for (std::uint32_t i = 0; i < fits; ++i) bin.room -= spec.each;
+    return fits;
+  }
+
+  std::optional<Offer> cheapest(const JobSpec& spec) const {
+    std::optional<Offer> best;
+    double least = 0;
+    for (const auto& type : *context_.types) {
+      const auto abreast = spec.each.times_in(type.size);
+      if (abreast <= 0) continue;
+      for (const auto& zone : type.zones)
+        for (const bool spot : {false, true}) {
+          const Offer offer{type.name, zone, spot};
+          if (!may_run_on(spec, bare(type.name, zone, spot)) || context_.refused.contains(offer))
+            continue;
+          // Fewer of a kind already there is preferred a little: no zone should hold everything.
+          const double price = (spot ? type.spot_price : type.price) / static_cast<double>(abreast);
+          const double score = price * (1 + 0.02 * present(offer));
+          if (!best || score < least) {
+            best = offer;
+            least = score;
+          }
+        }
+    }
+    return best;
+  }
+
+  int present(const Offer& offer) const {
+    return static_cast<int>(std::count_if(bins_.begin(), bins_.end(), [&](const Bin& bin) {
+      return bin.like.type == offer.type && bin.like.zone == offer.zone &&
+             bin.like.spot == offer.spot;
+    }));
+  }
+
+  // Room for the services that come next, in the shape of the largest class now running.
+  void pack_reserve(const std::vector<const Job*>& jobs) {
+    std::map<std::string, std::pair<const JobSpec*, double>> classes;
+    for (const Job* job : jobs) {
+      if (job->spec().kind != JobKind::service) continue;
+      auto& [spec, tasks] = classes[job->spec().job_class];
+      spec = &job->spec();
+      tasks += job->spec().tasks;
+    }
+    for (const auto& [name, entry] : classes) {
+      JobSpec shape = *entry.first;
+      shape.zone.reset();
+      pack(shape, static_cast<std::uint32_t>(std::ceil(entry.second * context_.service_reserve)));
+    }
+  }
+
+  // Machines idle for long whose whole room the packing left unused.
+  std::vector<std::string> idle_machines() const {
+    std::vector<std::string> out;
+    std::size_t bin = 0;
+    for (const auto& [id, machine] : model_.machines) {
+      if (!counts(machine)) continue;
+      const bool untouched = bins_[bin].room.cpus == machine.size.cpus;
+      ++bin;
+      if (machine.heard && machine.placements.empty() && untouched &&
+          context_.now_s - machine.idle_since_s > context_.idle_keep_s)
+        out.push_back(id);
+    }
+    return out;
+  }
+
+  const Model& model_;
+  const FleetContext& context_;
+  std::vector<Bin> bins_;
+  std::map<Offer, int> hires_;
+  std::map<std::string, std::int64_t> team_left_;
+};
+
+}  // namespace
+
+FleetPlan plan_fleet(const Model& model, const FleetContext& context) {
+  return Sizing(model, context).run();
+}
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/fleet.hpp
@@ -0,0 +1,46 @@
+// How many machines of which kind: what to rent and what to give back. Pure.
+#pragma once
+
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "bookkeeping/model.hpp"
+#include "protocol/cloud_messages.hpp"
+#include "protocol/settings.hpp"
+
+namespace poppystile::planning {
+
+// A kind of machine that can be asked for.
+struct Offer {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  auto operator<=>(const Offer&) const = default;
+};
+
+struct WantedMachines {
+  Offer offer;
+  int count = 0;
+};
+
+struct FleetPlan {
+  std::vector<WantedMachines> hire;
+  std::vector<std::string> release;
+};
+
+struct FleetContext {
+  double now_s = 0;
+  double now_wall_s = 0;
+  const std::vector<protocol::MachineType>* types = nullptr;
+  const std::vector<protocol::TeamSettings>* teams = nullptr;
+  std::set<Offer> refused;               // asked lately and not to be had
+  std::vector<WantedMachines> underway;  // asked for, not answered yet
+  double idle_keep_s = 40;
+  double service_reserve = 0.1;
+};
+
+FleetPlan plan_fleet(const bookkeeping::Model& model, const FleetContext& context);
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/labl.cpp
@@ -0,0 +1,208 @@
+#include "planning/labl.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <optional>
+
+#include "constants.hpp"
+
+namespace poppystile::planning {
+
+namespace {
+
+constexpr double slack = 1e-9;  // units; sums of fractions must not fall short of a bound
+
+double mean_unit(const LablJob& job) {
+  double sum = 0;
+  int servers = 0;
+  for (double each : job.unit) {
+    if (each <= 0) continue;
+    sum += each;
+    ++servers;
+  }
+  return servers == 0 ? 0 : sum / servers;
+}
+
+// The batch's unit: what its average task costs where its image is.
+double batch_unit(const std::vector<LablJob>& jobs) {
+  double sum = 0;
+  double tasks = 0;
+  for (const auto& job : jobs) {
+    const double unit = mean_unit(job);
+    if (unit <= 0) continue;
+    sum += unit * job.count;
+    tasks += job.count;
+  }
+  return tasks == 0 ? 0 : sum / tasks;
+}
+
+bool can_run_locally(const LablJob& job, const std::vector<double>& load, double bound) {
+  for (std::size_t s = 0; s < load.size(); ++s)
+    if (job.holder[s] && job.unit[s] > 0 && load[s] < bound) return true;
+  return false;
+}
+
+class Planner {
+ public:
+  Planner(std::vector<LablJob> jobs, const std::vector<LablServer>& servers,
+          const LablWeights& weights)
+      : jobs_(std::move(jobs)), weights_(weights), unit_(batch_unit(jobs_)) {
+    double least = std::numeric_limits<double>::max();
+    for (const auto& each : servers) least = std::min(least, each.load);
+    // The paper's normalisation: some server starts at no load (section 3.1).
+    for (const auto& each : servers) plan_.load.push_back(each.load - least);
+    holders_.resize(jobs_.size());
+    for (std::size_t j = 0; j < jobs_.size(); ++j) {
+      holders_[j] = static_cast<int>(
+          std::count(jobs_[j].holder.begin(), jobs_[j].holder.end(), std::uint8_t{1}));
+      if (mean_unit(jobs_[j]) <= 0) jobs_[j].count = 0;
+      left_ += jobs_[j].count;
+    }
+  }
+
+  LablPlan run() {
+    if (plan_.load.empty() || left_ == 0) return std::move(plan_);
+    plan_.start_bound = lower_bound(jobs_, plan_.load, weights_, unit_);
+    plan_.bound = plan_.start_bound;
+    for (int round = 0; left_ > 0 && round < constants::max_bound_rounds; ++round) {
+      if (round > 0) plan_.bound += unit_;
+      fill_nearly_full();
+      if (plan_.bound <= plan_.start_bound + weights_.offset * unit_ + slack) place_remote();
+      place_on_holders();
+    }
+    return std::move(plan_);
+  }
+
+ private:
+  double cost(std::size_t j, std::size_t s) const {
+    return jobs_[j].unit[s] * (jobs_[j].holder[s] ? weights_.local : weights_.remote);
+  }
+
+  void assign(std::size_t j, std::size_t s) {
+    const bool remote = !jobs_[j].holder[s];
+    plan_.load[s] += cost(j, s);
+    plan_.assignments.push_back(
+        {static_cast<std::uint32_t>(j), static_cast<std::uint32_t>(s), remote});
+    --jobs_[j].count;
+    --left_;
+    // Ours: the fetch leaves the image behind, so the job's next task there is local.
+    if (remote && weights_.fetch_makes_holder) {
+      jobs_[j].holder[s] = 1;
+      ++holders_[j];
+    }
+  }
+
+  // Phase I: servers with less room than a remote task, heaviest first, take the local tasks
+  // that have the fewest holders.
+  void fill_nearly_full() {
+    std::vector<std::size_t> order;
+    for (std::size_t s = 0; s < plan_.load.size(); ++s)
+      if (plan_.load[s] < plan_.bound && plan_.load[s] > plan_.bound - weights_.remote * unit_)
+        order.push_back(s);
+    std::stable_sort(order.begin(), order.end(),
+                     [&](auto a, auto b) { return plan_.load[a] > plan_.load[b]; });
+    for (const auto s : order)
+      while (const auto j = most_constrained(s)) assign(*j, s);
+  }
+
+  std::optional<std::size_t> most_constrained(std::size_t s) const {
+    std::optional<std::size_t> best;
+    for (std::size_t j = 0; j < jobs_.size(); ++j) {
+      const auto& job = jobs_[j];
+      if (job.count == 0 || !job.holder[s] || job.unit[s] <= 0) continue;
+      if (plan_.load[s] + cost(j, s) > plan_.bound + slack) continue;
+      if (!best || holders_[j] < holders_[*best]) best = j;
+    }
+    return best;
+  }
+
+  // Phase II: tasks whose every holder is at the bound go to servers with room for a fetch,
+  // the least loaded first.
+  void place_remote() {
+    for (std::size_t j = 0; j < jobs_.size(); ++j)
+      while (jobs_[j].count > 0 && !can_run_locally(jobs_[j], plan_.load, plan_.bound)) {
+        const auto s = least_loaded(j, false);
+        if (!s || plan_.load[*s] + cost(j, *s) > plan_.bound + slack) break;
+        assign(j, *s);
+      }
+  }
+
+  // Phase III: what is left goes to its least loaded holder within the bound.
+  void place_on_holders() {
+    for (std::size_t j = 0; j < jobs_.size(); ++j)
+      while (jobs_[j].count > 0) {
+        const auto holder = least_loaded(j, true);
+        const auto other = least_loaded(j, false);
+        // Ours: fetch where even a remote task ends before the least loaded holder is free.
+        const bool fetch =
+            other && (!holder || plan_.load[*other] + cost(j, *other) < plan_.load[*holder]);
+        const auto s = fetch ? other : holder;
+        if (!s || plan_.load[*s] + cost(j, *s) > plan_.bound + slack) break;
+        assign(j, *s);
+      }
+  }
+
+  std::optional<std::size_t> least_loaded(std::size_t j, bool holder) const {
+    std::optional<std::size_t> best;
+    for (std::size_t s = 0; s < plan_.load.size(); ++s) {
+      if (jobs_[j].unit[s] <= 0 || (jobs_[j].holder[s] != 0) != holder) continue;
+      if (!best || plan_.load[s] < plan_.load[*best]) best = s;
+    }
+    return best;
+  }
+
+  std::vector<LablJob> jobs_;
+  LablWeights weights_;
+  double unit_;
+  LablPlan plan_;
+  std::vector<int> holders_;
+  std::uint64_t left_ = 0;
+};
+
+bool bound_suffices(const std::vector<LablJob>& jobs, const std::vector<double>& load,
+                    const LablWeights& weights, double unit, double bound) {
+  double forced = 0;
+  double needed = 0;
+  for (const auto& job : jobs) {
+    const double each = mean_unit(job);
+    if (each <= 0) continue;
+    const bool local = can_run_locally(job, load, bound);
+    if (!local) forced += job.count;
+    needed += job.count * each * (local ? weights.local : weights.remote);
+  }
+  double remote_places = 0;
+  double room = 0;
+  for (double each : load) {
+    room += std::max(0.0, bound - each);
+    if (bound - each >= weights.remote * unit)
+      remote_places += std::floor((bound - each) / (weights.remote * unit) + slack);
+  }
+  return remote_places >= forced && room + slack >= needed;
+}
+
+}  // namespace
+
+double lower_bound(const std::vector<LablJob>& jobs, const std::vector<double>& load,
+                   const LablWeights& weights, double unit) {
+  if (unit <= 0) return 0;
+  std::uint64_t high = 1;
+  while (!bound_suffices(jobs, load, weights, unit, static_cast<double>(high) * unit) &&
+         high < (std::uint64_t{1} << 32))
+    high *= 2;
+  std::uint64_t low = 0;  // does not suffice
+  while (high - low > 1) {
+    const auto middle = low + (high - low) / 2;
+    (bound_suffices(jobs, load, weights, unit, static_cast<double>(middle) * unit) ? high : low) =
+        middle;
+  }
+  return static_cast<double>(high) * unit;
+}
+
+LablPlan plan_labl(std::vector<LablJob> jobs, const std::vector<LablServer>& servers,
+                   const LablWeights& weights) {
+  return Planner(std::move(jobs), servers, weights).run();
+}
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/planner.hpp
@@ -0,0 +1,43 @@
+// From the leader's picture to placements and preemptions. Pure: reads the model, changes nothing.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "bookkeeping/model.hpp"
+#include "planning/labl.hpp"
+#include "protocol/settings.hpp"
+
+namespace poppystile::planning {
+
+struct PlannedPlacement {
+  std::string machine;
+  std::string job;
+};
+
+struct PlannedStop {
+  std::string machine;
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+};
+
+struct Plan {
+  std::vector<PlannedPlacement> placements;
+  std::vector<PlannedStop> stops;
+};
+
+struct PlanningContext {
+  double now_s = 0;
+  const std::vector<protocol::TeamSettings>* teams = nullptr;
+  LablWeights weights;
+};
+
+bool may_run_on(const protocol::JobSpec& job, const bookkeeping::Machine& machine);
+bool takes_tasks(const bookkeeping::Machine& machine, double now_s);
+// Seconds a task of the job is believed to run.
+double believed_run_s(const protocol::JobSpec& job);
+
+Plan make_plan(const bookkeeping::Model& model, const PlanningContext& context);
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/protocol/peer_messages.cpp
@@ -0,0 +1,118 @@
+#include "protocol/peer_messages.hpp"
+
+#include <cbor.h>
+
+#include <cstdlib>
+#include <memory>
+
+namespace poppystile::protocol {
+
+namespace {
+
+struct Release {
+  void operator()(cbor_item_t* item) const {
+    if (item != nullptr) cbor_decref(&item);
+  }
+};
+using Item = std::unique_ptr<cbor_item_t, Release>;
+
+constexpr std::size_t status_fields = 7;  // the version, five values, the counts
+constexpr std::uint64_t version = 1;
+
+void push(cbor_item_t* array, cbor_item_t* value) {
+  Item owned(value);
+  (void)cbor_array_push(array, value);
+}
+
+cbor_item_t* text(const std::string& value) {
+  return cbor_build_stringn(value.data(), value.size());
+}
+
+// Items of an array by position; any surprise marks the frame as bad.
+class Reader {
+ public:
+  explicit Reader(cbor_item_t* array) : array_(array) {
+    good_ = array != nullptr && cbor_isa_array(array) && cbor_array_is_definite(array);
+  }
+  bool good() const { return good_; }
+  std::size_t size() const { return good_ ? cbor_array_size(array_) : 0; }
+  std::uint64_t number() {
+    Item item = next();
+    if (!good_ || !cbor_isa_uint(item.get())) return fail(), 0;
+    return cbor_get_int(item.get());
+  }
+  double real() {
+    Item item = next();
+    if (!good_ || !cbor_isa_float_ctrl(item.get()) || cbor_float_ctrl_is_ctrl(item.get()))
+      return fail(), 0;
+    return cbor_float_get_float(item.get());
+  }
+  std::string words() {
+    Item item = next();
+    if (!good_ || !cbor_isa_string(item.get()) || !cbor_string_is_definite(item.get()))
+      return fail(), "";
+    return {reinterpret_cast<const char*>(cbor_string_handle(item.get())),
+            cbor_string_length(item.get())};
+  }
+  Item next() {
+    if (!good_ || at_ >= cbor_array_size(array_)) return fail(), nullptr;
+    return Item(cbor_array_get(array_, at_++));
+  }
+
+ private:
+  void fail() { good_ = false; }
+  cbor_item_t* array_;
+  std::size_t at_ = 0;
+  bool good_ = false;
+};
+
+}  // namespace
+
+std::string encode_peer_status(const PeerStatus& status) {
+  Item root(cbor_new_definite_array(status_fields));
+  push(root.get(), cbor_build_uint64(version));
+  push(root.get(), text(status.name));
+  push(root.get(), cbor_build_uint64(status.token));
+  push(root.get(), cbor_build_uint64(status.leading ? 1 : 0));
+  push(root.get(), cbor_build_float8(status.sent_wall_s));
+  push(root.get(), cbor_build_float8(status.state_wall_s));
+  cbor_item_t* counts = cbor_new_definite_array(status.counts.size() * 3);
+  for (const auto& each : status.counts) {
+    push(counts, text(each.job));
+    push(counts, cbor_build_uint64(each.done));
+    push(counts, cbor_build_uint64(each.running));
+  }
+  push(root.get(), counts);
+  unsigned char* buffer = nullptr;
+  std::size_t capacity = 0;
+  const std::size_t size = cbor_serialize_alloc(root.get(), &buffer, &capacity);
+  std::unique_ptr<unsigned char, decltype(&std::free)> owned(buffer, &std::free);
+  return {reinterpret_cast<const char*>(buffer), size};
+}
+
+std::optional<PeerStatus> decode_peer_status(const std::string& frame) {
+  cbor_load_result result{};
+  Item root(cbor_load(reinterpret_cast<cbor_data>(frame.data()), frame.size(), &result));
+  Reader reader(root.get());
+  if (!reader.good() || reader.size() != status_fields || reader.number() != version)
+    return std::nullopt;
+  PeerStatus out;
+  out.name = reader.words();
+  out.token = reader.number();
+  out.leading = reader.number() == 1;
+  out.sent_wall_s = reader.real();
+  out.state_wall_s = reader.real();
+  Item list = reader.next();
+  Reader counts(list.get());
+  if (!reader.good() || !counts.good() || counts.size() % 3 != 0) return std::nullopt;
+  for (std::size_t i = 0; i < counts.size(); i += 3) {
+    JobCounts each{counts.words(), 0, 0};
+    each.done = counts.number();
+    each.running = counts.number();
+    if (!counts.good()) return std::nullopt;
+    out.counts.push_back(std::move(each));
+  }
+  return out;
+}
+
+}  // namespace poppystile::protocol
--- /dev/null
+++ b/src/protocol/properties.hpp
@@ -0,0 +1,18 @@
+// Operators' own settings, as Java-style properties.
+#pragma once
+
+#include <string>
+
+namespace poppystile::protocol {
+
+struct Properties {
+  double idle_keep_s;          // fleet.idle-keep-s
+  double service_reserve;      // fleet.service-reserve
+  double remote_offset_units;  // planner.remote-offset-units
+  Properties();
+};
+
+// Throws DecodeError naming the key and what was expected. An empty path gives the defaults.
+Properties read_properties(const std::string& path);
+
+}  // namespace poppystile::protocol
--- /dev/null
+++ b/src/protocol/settings.cpp
@@ -0,0 +1,92 @@
+#include "protocol/settings.hpp"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+#include "protocol/json.hpp"
+
+namespace poppystile::protocol {
+
+transport::Endpoint parse_endpoint(const std::string& text, const char* name) {
+  const auto colon = text.rfind(':');
+  const std::string problem = std::string(name) + ": expected IPv4:PORT, got \"" + text + "\"";
+  if (colon == std::string::npos) throw DecodeError(problem);
+  transport::Endpoint endpoint{text.substr(0, colon), 0};
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, endpoint.port);
+  in_addr address{};
+  if (error != std::errc{} || stop != end || endpoint.port == 0 ||
+      inet_pton(AF_INET, endpoint.host.c_str(), &address) != 1)
+    throw DecodeError(problem);
+  return endpoint;
+}
+
+namespace {
+
+transport::Endpoint need_endpoint(const Json& object, const char* name) {
+  return parse_endpoint(need_text(object, name), name);
+}
+
+const Json& need_section(const Json& object, const char* name) {
+  const Json& section = need(object, name);
+  if (!section.is_object()) throw DecodeError(std::string(name) + ": expected an object");
+  return section;
+}
+
+double need_positive(const Json& object, const char* name) {
+  const double amount = need_amount(object, name);
+  if (amount <= 0) throw DecodeError(std::string(name) + ": expected a number above 0");
+  return amount;
+}
+
+double amount_or(const Json& object, const char* name, double otherwise) {
+  const Json* found = find(object, name);
+  return found == nullptr ? otherwise : as_amount(*found, name);
+}
+
+TeamSettings parse_team(const Json& each) {
+  return {need_text(each, "name"), amount_or(each, "cpus", 0), amount_or(each, "cpus_max", 0),
+          amount_or(each, "gpus", 0), amount_or(each, "gpus_max", 0)};
+}
+
+void parse_limits(const Json& given, Settings& out) {
+  const Json& workers = need_section(given, "workers");
+  out.report_s = need_positive(workers, "report_s");
+  out.lease_s = need_positive(workers, "lease_s");
+  out.cancel_s = need_positive(workers, "cancel_s");
+  const Json& state = need_section(given, "state");
+  out.state_rps = need_positive(state, "rps");
+  out.state_write_rps = need_positive(state, "write_rps");
+  out.value_kb = need_positive(state, "value_kb");
+  out.txn_ops = static_cast<int>(need_positive(state, "txn_ops"));
+  const Json& cloud = need_section(given, "cloud");
+  out.cloud_rps = need_positive(cloud, "rps");
+  out.list_lag_s = need_amount(cloud, "list_lag_s");
+  out.sockets = need_positive(need_section(given, "machine_limits"), "sockets");
+  out.clock_bound_s = amount_or(given, "time_bound_ms", 100) / 1000;
+}
+
+}  // namespace
+
+Settings parse_settings(const std::string& text) {
+  const Json root = parse_object(text);
+  Settings out;
+  out.name = need_text(root, "member");
+  out.zone = need_text(root, "site");
+  out.listen = need_endpoint(root, "bind");
+  out.peer_listen = need_endpoint(root, "peer_bind");
+  for (const Json& each : need_list(root, "siblings"))
+    out.siblings.push_back(
+        {need_text(each, "member"), need_text(each, "site"), need_endpoint(each, "peer_addr")});
+  const Json& services = need_section(root, "services");
+  out.cloud = need_endpoint(services, "cloud");
+  out.state = need_endpoint(services, "state");
+  const Json& given = need_section(root, "settings");
+  for (const Json& each : need_list(given, "zones")) out.zones.push_back(as_text(each, "zones"));
+  for (const Json& each : need_list(given, "teams")) out.teams.push_back(parse_team(each));
+  parse_limits(given, out);
+  return out;
+}
+
+}  // namespace poppystile::protocol
--- /dev/null
+++ b/src/protocol/settings.hpp
@@ -0,0 +1,44 @@
+// The settings file that the platform hands over (DEPLOY), checked.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "transport/http.hpp"
+
+namespace poppystile::protocol {
+
+struct Sibling {
+  std::string name;
+  std::string zone;
+  transport::Endpoint address;
+};
+
+struct TeamSettings {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
+};
+
+struct Settings {
+  std::string name;
+  std::string zone;
+  transport::Endpoint listen;
+  transport::Endpoint peer_listen;
+  std::vector<Sibling> siblings;
+  transport::Endpoint cloud;
+  transport::Endpoint state;
+  std::vector<std::string> zones;
+  std::vector<TeamSettings> teams;
+  double report_s = 1, lease_s = 10, cancel_s = 30;
+  double state_rps = 100, state_write_rps = 20, value_kb = 8;
+  int txn_ops = 16;
+  double cloud_rps = 1, list_lag_s = 5;
+  double sockets = 256;
+  double clock_bound_s = 0.1;
+};
+
+// Throws DecodeError naming the field and what was expected.
+Settings parse_settings(const std::string& text);
+transport::Endpoint parse_endpoint(const std::string& text, const char* name);
+
+}  // namespace poppystile::protocol
--- /dev/null
+++ b/src/transport/event_loop.cpp
@@ -0,0 +1,52 @@
+#include "transport/event_loop.hpp"
+
+#include <chrono>
+#include <cmath>
+#include <stdexcept>
+#include <utility>
+
+namespace poppystile::transport {
+
+namespace {
+struct OneShot {
+  uv_timer_t timer{};
+  std::function<void()> action;
+};
+}  // namespace
+
+EventLoop::EventLoop() {
+  if (uv_loop_init(&loop_) != 0) throw std::runtime_error("cannot start the event loop");
+}
+
+EventLoop::~EventLoop() { uv_loop_close(&loop_); }
+
+double EventLoop::now_s() const { return static_cast<double>(uv_hrtime()) * 1e-9; }
+
+double EventLoop::wall_s() const {
+  return std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void EventLoop::after(double delay_s, std::function<void()> action) {
+  // libuv owns the handle until its close callback runs, hence the hand-over of ownership.
+  auto shot = std::make_unique<OneShot>();
+  shot->action = std::move(action);
+  uv_timer_init(&loop_, &shot->timer);
+  shot->timer.data = shot.get();
+  uv_update_time(&loop_);
+  uv_timer_start(
+      &shot->timer,
+      [](uv_timer_t* timer) {
+        auto* self = static_cast<OneShot*>(timer->data);
+        auto todo = std::move(self->action);
+        uv_close(reinterpret_cast<uv_handle_t*>(timer), [](uv_handle_t* handle) {
+          std::unique_ptr<OneShot>(static_cast<OneShot*>(handle->data));
+        });
+        todo();
+      },
+      static_cast<std::uint64_t>(std::ceil(std::max(0.0, delay_s) * 1000.0)), 0);
+  shot.release();
+}
+
+void EventLoop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
+
+}  // namespace poppystile::transport
