Count waiting tasks from their phases, not from the cursor

Cause: after a takeover a restored job's cursor passed tasks that were done or placed, and the count of waiting tasks included them; taking the last one wrote past the end and corrupted the heap.

--- a/src/bookkeeping/model.cpp
+++ b/src/bookkeeping/model.cpp
@@ -10,9 +10,9 @@
     index = returned.back();
     returned.pop_back();
   } else {
-    while (fresh < spec().tasks && phases[fresh] != TaskPhase::waiting) ++fresh;
+    // A restored job has tasks beyond the cursor that are done or placed already.
+    while (phases.at(fresh) != TaskPhase::waiting) ++fresh;
     index = fresh++;
-    while (fresh < spec().tasks && phases[fresh] != TaskPhase::waiting) ++fresh;
   }
   phases[index] = TaskPhase::placed;
   ++placed;
--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -39,9 +39,7 @@
   bool closing = false;             // its final record is on its way
 
   const JobSpec& spec() const { return record.spec; }
-  std::uint32_t waiting() const {
-    return static_cast<std::uint32_t>(returned.size()) + spec().tasks - fresh;
-  }
+  std::uint32_t waiting() const { return spec().tasks - placed - finished - done; }
   bool all_finished() const { return done + finished == spec().tasks; }
   std::uint32_t take_waiting();
   void give_back(std::uint32_t index);
