--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -26,6 +26,7 @@
        std::uint64_t seed);
   void start();
   void handle(const transport::HttpRequest& request, transport::Respond respond);
+  bool leads() const { return leadership_.leading(); }
 
  private:
   void beat();
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -66,6 +66,31 @@
   bool good_ = false;
 };
 
+// libcbor sets aside room for as many items as an array's head claims before it reads them, so
+// one damaged frame could cost gigabytes and many seconds. An array cannot have more items than
+// the frame has bytes.
+bool plausible(const std::string& frame) {
+  struct Claims {
+    std::size_t most;
+    bool good = true;
+  } claims{frame.size()};
+  cbor_callbacks callbacks = cbor_empty_callbacks;
+  callbacks.array_start = [](void* context, std::size_t size) {
+    auto* seen = static_cast<Claims*>(context);
+    seen->good = seen->good && size <= seen->most;
+  };
+  callbacks.map_start = [](void* context, std::size_t) {
+    static_cast<Claims*>(context)->good = false;  // a status holds none
+  };
+  const auto* data = reinterpret_cast<cbor_data>(frame.data());
+  for (std::size_t at = 0; at < frame.size();) {
+    const auto step = cbor_stream_decode(data + at, frame.size() - at, &callbacks, &claims);
+    if (step.status != CBOR_DECODER_FINISHED || step.read == 0 || !claims.good) return false;
+    at += step.read;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string encode_peer_status(const PeerStatus& status) {
@@ -91,6 +116,7 @@
 }
 
 std::optional<PeerStatus> decode_peer_status(const std::string& frame) {
+  if (!plausible(frame)) return std::nullopt;
   cbor_load_result result{};
   Item root(cbor_load(reinterpret_cast<cbor_data>(frame.data()), frame.size(), &result));
   Reader reader(root.get());
--- /dev/null
+++ b/tests/settings_check.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Bad settings and properties end the program with status 2 and one line; good ones with 0.
+set -u
+program=$1
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+fail() { echo "FAILED: $1"; exit 1; }
+
+cat > "$dir/good.json" <<'JSON'
+{"member":"stile-0","site":"a","bind":"127.0.0.1:18080","peer_bind":"127.0.0.1:18081",
+ "siblings":[{"member":"stile-1","site":"b","peer_addr":"127.0.0.1:18082"}],
+ "services":{"cloud":"127.0.0.1:18443","state":"127.0.0.1:12379"},
+ "settings":{"zones":["a","b"],"teams":[{"name":"ops"}],"unheard_of":1,
+ "workers":{"report_s":1,"lease_s":10,"cancel_s":35},
+ "state":{"rps":250,"write_rps":40,"value_kb":8,"txn_ops":32},
+ "cloud":{"rps":6,"list_lag_s":3},"machine_limits":{"sockets":600},"time_bound_ms":100}}
+JSON
+"$program" --check --config "$dir/good.json" || fail "good settings were refused"
+
+expect_refusal() {  # MESSAGE ARGUMENTS...
+  local message=$1
+  shift
+  local said
+  said=$("$program" --check "$@" 2>&1)
+  [ $? -eq 2 ] || fail "$message: status is not 2"
+  [ "$(wc -l <<< "$said")" -eq 1 ] || fail "$message: not one line"
+  grep -q -- "$message" <<< "$said" || fail "said \"$said\", not $message"
+}
+
+sed 's/"127.0.0.1:18080"/"nowhere"/' "$dir/good.json" > "$dir/bad.json"
+expect_refusal 'bind: expected IPv4:PORT' --config "$dir/bad.json"
+sed 's/"lease_s":10/"lease_s":0/' "$dir/good.json" > "$dir/bad.json"
+expect_refusal 'lease_s: expected a number above 0' --config "$dir/bad.json"
+echo '{' > "$dir/bad.json"
+expect_refusal 'not JSON' --config "$dir/bad.json"
+expect_refusal 'cannot be read' --config "$dir/absent.json"
+echo 'fleet.idle-keep = 3' > "$dir/bad.properties"
+expect_refusal 'nearest is fleet.idle-keep-s' --config "$dir/good.json" \
+  --properties "$dir/bad.properties"
+echo 'fleet.idle-keep-s = soon' > "$dir/bad.properties"
+expect_refusal 'expected a number' --config "$dir/good.json" --properties "$dir/bad.properties"
+echo 'fleet.idle-keep-s = 30' > "$dir/good.properties"
+"$program" --check --config "$dir/good.json" --properties "$dir/good.properties" \
+  || fail "good properties were refused"
+echo "settings checked"
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,211 @@
+// Codecs: what goes out comes back, and what is broken is refused without harm.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <random>
+
+#include "bookkeeping/records.hpp"
+#include "protocol/cloud_messages.hpp"
+#include "protocol/peer_messages.hpp"
+#include "protocol/settings.hpp"
+#include "protocol/state_messages.hpp"
+#include "protocol/submission.hpp"
+#include "protocol/worker_messages.hpp"
+
+namespace poppystile {
+namespace {
+
+using protocol::DecodeError;
+using protocol::Json;
+
+const char* const submission =
+    R"({"id":"req-000412","lane":"train","crew":"vision","shape":"sweep","rank":"high","pieces":16,
+"cores":8.0,"gpus":1.0,"ram_gb":64.0,"bundle":"img-07","pull_gb":6.2,"builds":["g8"],"yard":null,
+"one_zone":true,"scatter":false,"loaners":true,"guess_s":240.0,"mark_every_s":30.0,
+"mark_cost_s":4.0,"due_s":900.0,"unheard_of":[1]})";
+
+const char* const report =
+    R"({"stile":"n-000231","addr":"10.1.0.232:9000","build":"g8","yard":"a","loaners":true,"shift":1,
+"tick":88,"baton":41,"recall_s":null,"pieces":[{"piece":"req-000412/3","try":2,"stage":"running"},
+{"piece":"req-000398/0","try":1,"stage":"exited","cause":"done"}]})";
+
+TEST(Submission, RoundTrip) {
+  const auto job = protocol::parse_submission(protocol::parse_object(submission));
+  EXPECT_EQ(job.id, "req-000412");
+  EXPECT_EQ(job.each.memory, 64000);
+  EXPECT_FALSE(job.zone.has_value());
+  const auto again = protocol::parse_submission(protocol::encode_submission(job));
+  EXPECT_EQ(protocol::encode_submission(again), protocol::encode_submission(job));
+}
+
+TEST(Submission, RefusesWhatIsMissingOrInvalid) {
+  const std::pair<const char*, Json> bad[] = {
+      {"id", "job-1"},    {"id", "req-"},       {"id", "req-1 2"}, {"id", 7},
+      {"shape", "cloud"}, {"rank", "top"},      {"pieces", 0},     {"pieces", 100001},
+      {"pieces", -1},     {"pieces", 1.5},      {"cores", -1},     {"cores", 0},
+      {"cores", "8"},     {"cores", 1e300},     {"ram_gb", true},  {"one_zone", 1},
+      {"bundle", ""},     {"due_s", -5},        {"builds", "g8"},  {"builds", Json{1}},
+      {"lane", nullptr},  {"guess_s", nullptr}, {"scatter", "no"}, {"crew", std::string(300, 'x')}};
+  for (const auto& [field, value] : bad) {
+    Json body = Json::parse(submission);
+    body[field] = value;
+    EXPECT_THROW(protocol::parse_submission(body), DecodeError) << field << " " << value;
+  }
+  for (const char* field :
+       {"id", "lane", "crew", "shape", "rank", "pieces", "cores", "gpus", "ram_gb", "bundle",
+        "pull_gb", "one_zone", "scatter", "loaners", "guess_s"}) {
+    Json body = Json::parse(submission);
+    body.erase(field);
+    EXPECT_THROW(protocol::parse_submission(body), DecodeError) << field;
+  }
+  EXPECT_THROW(protocol::parse_object("[1]"), DecodeError);
+  EXPECT_THROW(protocol::parse_object("{"), DecodeError);
+}
+
+TEST(Submission, NullAndAbsentAreEqual) {
+  Json with = Json::parse(submission);
+  with["builds"] = nullptr;
+  with["due_s"] = nullptr;
+  Json without = with;
+  without.erase("builds");
+  without.erase("due_s");
+  without.erase("yard");
+  EXPECT_EQ(protocol::encode_submission(protocol::parse_submission(with)),
+            protocol::encode_submission(protocol::parse_submission(without)));
+}
+
+TEST(Report, ReadsTheProtocolsExample) {
+  const auto parsed = protocol::parse_report(report);
+  EXPECT_EQ(parsed.token, 41u);
+  ASSERT_EQ(parsed.tasks.size(), 2u);
+  EXPECT_EQ(parsed.tasks[0].job, "req-000412");
+  EXPECT_EQ(parsed.tasks[0].index, 3u);
+  EXPECT_EQ(parsed.tasks[1].cause, protocol::ExitCause::done);
+}
+
+TEST(Commands, FollowTheProtocolsForm) {
+  const std::string body =
+      protocol::encode_commands(41, {{protocol::Command::Op::start, "req-000412", 4, 2, 0},
+                                     {protocol::Command::Op::stop, "req-000377", 1, 1, 10},
+                                     {protocol::Command::Op::forget, "req-000398", 0, 1, 0}});
+  EXPECT_EQ(Json::parse(body), Json::parse(R"({"baton":41,"orders":[
+    {"verb":"start","piece":"req-000412/4","try":2},
+    {"verb":"stop","piece":"req-000377/1","try":1,"wind_down_s":10},
+    {"verb":"reap","piece":"req-000398/0","try":1}]})"));
+}
+
+TEST(Paths, AreTakenApart) {
+  using What = protocol::UserPath::What;
+  EXPECT_EQ(protocol::parse_path("/submissions").what, What::submit);
+  EXPECT_EQ(protocol::parse_path("/submissions/req-1").id, "req-1");
+  EXPECT_EQ(protocol::parse_path("/submissions/req-1/cancel").what, What::cancel);
+  EXPECT_EQ(protocol::parse_path("/submissions/a/b/c").what, What::none);
+  EXPECT_EQ(protocol::parse_path("/submissions/").what, What::none);
+  EXPECT_EQ(protocol::parse_path("/elsewhere").what, What::none);
+}
+
+TEST(State, TransactionCarriesConditionsAndChanges) {
+  const Json body = Json::parse(protocol::encode_transaction(
+      {{{"a/b", 0}}, {{"a/b", R"({"x":1})", 7}, {"c/d", std::nullopt, 0}}}));
+  EXPECT_EQ(body, Json::parse(R"({"when":[{"key":"a/b","stamp":0}],
+    "apply":[{"write":"a/b","data":{"x":1},"pass":7},{"remove":"c/d"}]})"));
+}
+
+TEST(State, WatchTellsWritesFromRemovals) {
+  const auto page = protocol::parse_watch(
+      R"({"epoch":433,"log":[{"write":"c/9","data":{"v":1},"stamp":433},{"remove":"c/d","stamp":432}]})");
+  EXPECT_EQ(page.revision, 433u);
+  ASSERT_EQ(page.events.size(), 2u);
+  EXPECT_TRUE(page.events[0].value.has_value());
+  EXPECT_FALSE(page.events[1].value.has_value());
+}
+
+TEST(Records, MachineRoundTrip) {
+  const bookkeeping::MachineRecord record{
+      "g8", "a", true, 3, 1.5e9, {{"req-1", 7, 1ull << 40}}, {{"img", 2.5}}};
+  const auto again = bookkeeping::decode_machine(bookkeeping::encode(record));
+  EXPECT_EQ(bookkeeping::encode(again), bookkeeping::encode(record));
+}
+
+TEST(Records, JobRoundTripAndUnknownVersion) {
+  const bookkeeping::JobRecord record{
+      protocol::parse_submission(protocol::parse_object(submission)), 1.7e9, true};
+  Json value = bookkeeping::encode(record);
+  EXPECT_TRUE(bookkeeping::decode_job(value).cancelled);
+  value["v"] = 99;
+  EXPECT_THROW(bookkeeping::decode_job(value), DecodeError);
+}
+
+TEST(Records, BitmapRoundTrip) {
+  std::vector<bool> bits(131);
+  for (std::size_t i = 0; i < bits.size(); i += 3) bits[i] = true;
+  auto again = bookkeeping::decode_bitmap(bookkeeping::encode_bitmap(bits));
+  ASSERT_GE(again.size(), bits.size());
+  again.resize(bits.size());
+  EXPECT_EQ(again, bits);
+}
+
+TEST(Peers, RoundTripAndGarbage) {
+  const protocol::PeerStatus status{"stile-1", 9, true, 1.7e9, 1.6e9, {{"req-1", 5, 6}}};
+  const std::string frame = protocol::encode_peer_status(status);
+  const auto again = protocol::decode_peer_status(frame);
+  ASSERT_TRUE(again.has_value());
+  EXPECT_EQ(again->counts.at(0).running, 6u);
+  EXPECT_EQ(again->sent_wall_s, 1.7e9);
+  EXPECT_FALSE(protocol::decode_peer_status("").has_value());
+  EXPECT_FALSE(protocol::decode_peer_status("\x81\x01").has_value());
+}
+
+// A head that claims billions of items once blocked the process for seconds while room for them
+// was set aside.
+TEST(Peers, HugeClaimIsRefusedAtOnce) {
+  EXPECT_FALSE(
+      protocol::decode_peer_status(std::string("\x9b\x00\x00\x00\x7f\xff\xff\xff\xff\x01", 10))
+          .has_value());
+  EXPECT_FALSE(
+      protocol::decode_peer_status(std::string("\xba\xff\xff\xff\xff\x01", 6)).has_value());
+}
+
+// Fuzz-like, with a fixed seed: broken input raises DecodeError or gives a value, nothing else.
+TEST(Decoders, SurviveBrokenInput) {
+  const std::string frame = protocol::encode_peer_status({"s", 1, true, 2, 3, {{"j", 4, 5}}});
+  const std::string machine_list =
+      R"({"stiles":[{"id":"n-1","build":"g8","yard":"a","loaners":true,"stage":"running","held_s":6}],"more":false})";
+  const std::string record =
+      bookkeeping::encode(bookkeeping::MachineRecord{"g", "a", false, 1, 2, {{"r", 1, 2}}, {}})
+          .dump();
+  const std::pair<std::string, std::function<void(const std::string&)>> targets[] = {
+      {submission, [](auto& s) { protocol::parse_submission(protocol::parse_object(s)); }},
+      {report, [](auto& s) { protocol::parse_report(s); }},
+      {machine_list, [](auto& s) { protocol::parse_machine_list(s); }},
+      {R"({"stiles":["n-1"]})", [](auto& s) { protocol::parse_hired(s); }},
+      {R"({"entries":[{"key":"a","data":{},"stamp":4}],"more":true,"epoch":4})",
+       [](auto& s) { protocol::parse_entries(s); }},
+      {R"({"epoch":4,"log":[{"remove":"c","stamp":4}]})",
+       [](auto& s) { protocol::parse_watch(s); }},
+      {record, [](auto& s) { bookkeeping::decode_machine(protocol::parse_object(s)); }},
+      {frame, [](auto& s) { protocol::decode_peer_status(s); }}};
+  std::mt19937_64 random(5);
+  for (const auto& [good, decode] : targets) {
+    EXPECT_NO_THROW(decode(good));
+    for (int round = 0; round < 3000; ++round) {
+      std::string broken = good;
+      for (int edits = 1 + static_cast<int>(random() % 4); edits > 0; --edits) {
+        const std::size_t at = random() % broken.size();
+        if (random() % 3 == 0) {
+          broken.erase(at, 1 + random() % 5);
+        } else {
+          broken[at] = static_cast<char>(random());
+        }
+        if (broken.empty()) broken = "x";
+      }
+      try {
+        decode(broken);
+      } catch (const DecodeError&) {
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace poppystile
--- /dev/null
+++ b/tests/unit/planner_test.cpp
@@ -0,0 +1,178 @@
+// The planner over the leader's model, and the model's own counts.
+#include "planning/planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include "planning/fleet.hpp"
+
+namespace poppystile::planning {
+namespace {
+
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Model;
+using bookkeeping::TaskPhase;
+using protocol::JobKind;
+using protocol::JobSpec;
+using protocol::Priority;
+
+JobSpec spec(const std::string& id, JobKind kind, std::uint32_t tasks, Priority priority) {
+  JobSpec job;
+  job.id = id;
+  job.job_class = "c";
+  job.team = "ops";
+  job.kind = kind;
+  job.tasks = tasks;
+  job.priority = priority;
+  job.each = {2000, 0, 1000};
+  job.image = "img";
+  job.image_gb = 1;
+  job.estimate_s = 20;
+  job.spot = true;
+  return job;
+}
+
+void add(Model& model, const JobSpec& job) {
+  Job made;
+  made.record.spec = job;
+  made.phases.assign(job.tasks, TaskPhase::waiting);
+  model.jobs.emplace(job.id, std::move(made));
+}
+
+Machine& add(Model& model, const std::string& id, std::int64_t cpus) {
+  Machine machine;
+  machine.id = id;
+  machine.type = "t";
+  machine.zone = id.substr(0, 1);
+  machine.size = {cpus * 1000, 0, 64000};
+  machine.heard = machine.confirmed = true;
+  machine.session = 1;
+  machine.cache_gb = 10;
+  return model.machines.emplace(id, std::move(machine)).first->second;
+}
+
+class PlannerTest : public testing::Test {
+ protected:
+  Plan plan() { return make_plan(model, {0, &teams, {1, 3, 1, true}}); }
+  void apply(const Plan& made) {
+    for (const auto& each : made.placements)
+      model.place(model.machines.at(each.machine), model.jobs.at(each.job), ++attempts, 0);
+  }
+  Model model;
+  std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
+  std::uint64_t attempts = 0;
+};
+
+// A restored job's cursor once ran past its end and corrupted the heap.
+TEST_F(PlannerTest, RestoredJobHandsOutOnlyWhatWaits) {
+  add(model, spec("req-1", JobKind::array, 5, Priority::normal));
+  Job& job = model.jobs.at("req-1");
+  for (std::uint32_t i : {0u, 2u, 4u}) job.phases[i] = TaskPhase::done;
+  job.done = 3;
+  EXPECT_EQ(job.waiting(), 2u);
+  add(model, "a1", 32);
+  apply(plan());
+  EXPECT_EQ(job.waiting(), 0u);
+  EXPECT_EQ(job.phases[1], TaskPhase::placed);
+  EXPECT_EQ(job.phases[3], TaskPhase::placed);
+}
+
+TEST_F(PlannerTest, NeverMoreThanFits) {
+  add(model, spec("req-1", JobKind::array, 100, Priority::normal));
+  add(model, "a1", 8);
+  add(model, "b1", 4);
+  apply(plan());
+  EXPECT_EQ(model.machines.at("a1").placements.size(), 4u);
+  EXPECT_EQ(model.machines.at("b1").placements.size(), 2u);
+}
+
+TEST_F(PlannerTest, TeamLimitHolds) {
+  teams[0].cpus_max = 7;
+  add(model, spec("req-1", JobKind::array, 100, Priority::normal));
+  add(model, spec("req-2", JobKind::service, 2, Priority::high));
+  add(model, "a1", 32);
+  apply(plan());
+  EXPECT_EQ(model.teams.at("ops").used.cpus, 6000);
+}
+
+TEST_F(PlannerTest, ServiceGoesToTheHolder) {
+  add(model, spec("req-1", JobKind::service, 1, Priority::high));
+  add(model, "a1", 32);
+  add(model, "b1", 8).touch_image("img", 1);
+  const Plan made = plan();
+  ASSERT_EQ(made.placements.size(), 1u);
+  EXPECT_EQ(made.placements[0].machine, "b1");
+}
+
+TEST_F(PlannerTest, HigherPriorityMakesRoomOnceOnly) {
+  add(model, spec("req-1", JobKind::array, 4, Priority::normal));
+  add(model, "a1", 8);
+  apply(plan());
+  add(model, spec("req-2", JobKind::service, 1, Priority::production));
+  const Plan made = plan();
+  ASSERT_EQ(made.stops.size(), 1u);
+  model.machines.at("a1")
+      .find(made.stops[0].job, made.stops[0].index, made.stops[0].attempt)
+      ->stopping = true;
+  EXPECT_TRUE(plan().stops.empty());  // the room is on its way
+}
+
+TEST_F(PlannerTest, EqualPriorityIsNotPreempted) {
+  add(model, spec("req-1", JobKind::array, 4, Priority::high));
+  add(model, "a1", 8);
+  apply(plan());
+  add(model, spec("req-2", JobKind::service, 1, Priority::high));
+  EXPECT_TRUE(plan().stops.empty());
+}
+
+TEST_F(PlannerTest, SpreadAndOneZoneAreKept) {
+  JobSpec apart = spec("req-1", JobKind::array, 5, Priority::normal);
+  apart.spread = true;
+  JobSpec together = spec("req-2", JobKind::array, 3, Priority::normal);
+  together.one_zone = true;
+  add(model, apart);
+  add(model, together);
+  add(model, "a1", 32);
+  add(model, "b1", 32);
+  std::map<std::string, std::map<std::string, int>> zones;
+  // A plan leaves out what would crowd a zone; the next one puts it elsewhere.
+  for (int round = 0; round < 2; ++round) {
+    const Plan made = plan();
+    for (const auto& each : made.placements) ++zones[each.job][each.machine.substr(0, 1)];
+    apply(made);
+  }
+  EXPECT_LE(zones["req-1"]["a"], 3);
+  EXPECT_LE(zones["req-1"]["b"], 3);
+  EXPECT_EQ(zones["req-1"]["a"] + zones["req-1"]["b"], 5);
+  EXPECT_EQ(std::max(zones["req-2"]["a"], zones["req-2"]["b"]), 3);
+}
+
+TEST_F(PlannerTest, SpotOnlyWhereAllowed) {
+  JobSpec ordinary = spec("req-1", JobKind::service, 1, Priority::high);
+  ordinary.spot = false;
+  add(model, ordinary);
+  add(model, "a1", 32).spot = true;
+  EXPECT_TRUE(plan().placements.empty());
+}
+
+TEST(Fleet, RentsTheCheapestAllowedAndSkipsWhatWasRefused) {
+  Model model;
+  JobSpec job = spec("req-1", JobKind::array, 8, Priority::normal);
+  add(model, job);
+  const std::vector<protocol::MachineType> types = {
+      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
+  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
+  FleetContext context;
+  context.types = &types;
+  context.teams = &teams;
+  const FleetPlan first = plan_fleet(model, context);
+  ASSERT_EQ(first.hire.size(), 1u);
+  EXPECT_TRUE(first.hire[0].offer.spot);
+  context.refused.insert(first.hire[0].offer);
+  const FleetPlan second = plan_fleet(model, context);
+  ASSERT_EQ(second.hire.size(), 1u);
+  EXPECT_FALSE(second.hire[0].offer.spot);
+}
+
+}  // namespace
+}  // namespace poppystile::planning
--- /dev/null
+++ b/tests/world/rules.cpp
@@ -0,0 +1,93 @@
+#include "world/rules.hpp"
+
+#include <algorithm>
+
+namespace poppystile::world {
+
+namespace {
+constexpr double sweep_slack_s = 0.5;  // seconds; the sweep runs every half second
+}
+
+void Rules::breach(const std::string& rule, const std::string& detail) {
+  broken_.push_back(std::to_string(queue_.now()) + " " + rule + " " + detail);
+}
+
+const protocol::JobSpec* Rules::job(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+void Rules::on_machine(const std::string& id, std::uint32_t index, const Place& place) {
+  ++starts_;
+  const std::string name = id + "/" + std::to_string(index) + " on " + place.machine;
+  const auto& spec = jobs_.at(id);
+  auto& places = on_[{id, index}];
+  for (const auto& [machine, other] : places)
+    if (machine != place.machine) breach("ran_twice", name + " and " + machine);
+  const bool type_allowed = !spec.types || std::find(spec.types->begin(), spec.types->end(),
+                                                     place.type) != spec.types->end();
+  if (!type_allowed || (place.spot && !spec.spot) || (spec.zone && *spec.zone != place.zone))
+    breach("wrong_place", name);
+  std::uint32_t here = 1;
+  std::uint32_t elsewhere = 0;
+  for (const auto& [task, where] : on_) {
+    if (task.first != id || task.second == index) continue;
+    for (const auto& [machine, other] : where) ++(other.zone == place.zone ? here : elsewhere);
+  }
+  if (spec.one_zone && elsewhere > 0) breach("wrong_place", name + " splits the zone");
+  if (spec.spread && here > (spec.tasks + 1) / 2) breach("wrong_place", name + " crowds a zone");
+  if (places.empty()) team_cpus_[spec.team] += spec.each.cpus;
+  places[place.machine] = place;
+  const auto limit = limits_[spec.team];
+  if (limit > 0 && team_cpus_[spec.team] > limit) breach("quota", spec.team);
+  const auto told = cancelled_told_.find(id);
+  if (told != cancelled_told_.end() && queue_.now() > told->second + cancel_s_)
+    breach("ran_cancelled", name + " started");
+}
+
+void Rules::off_machine(const std::string& id, std::uint32_t index, const std::string& machine) {
+  const auto it = on_.find({id, index});
+  if (it == on_.end() || it->second.erase(machine) == 0 || !it->second.empty()) return;
+  on_.erase(it);
+  team_cpus_[jobs_.at(id).team] -= jobs_.at(id).each.cpus;
+}
+
+void Rules::completed(const std::string& id, std::uint32_t index) { completed_[id].insert(index); }
+
+bool Rules::is_completed(const std::string& id, std::uint32_t index) const {
+  const auto it = completed_.find(id);
+  return it != completed_.end() && it->second.contains(index);
+}
+
+void Rules::told(const std::string& id, int status, const std::string& state, bool poll) {
+  const bool known = jobs_.contains(id);
+  if (status == 404 && accepted_.contains(id)) breach("forgotten", id + " got 404");
+  if ((status == 400 || status == 422) && !poll && accepted_.contains(id))
+    breach("forgotten", id + " refused when repeated");
+  if (status != 200 && status != 201) return;
+  if (!known) return breach("invented", id);
+  accepted_.insert(id);
+  if (state == "done" && completed_[id].size() < jobs_.at(id).tasks) breach("not_done", id);
+  if (done_.contains(id) && state != "done") breach("went_back", id + " done then " + state);
+  if (cancelled_told_.contains(id) && state != "aborted")
+    breach("went_back", id + " cancelled then " + state);
+  if (state == "done") done_.insert(id);
+}
+
+void Rules::told_cancelled(const std::string& id) { cancelled_told_.emplace(id, queue_.now()); }
+
+void Rules::sweep() {
+  for (const auto& [task, places] : on_) {
+    const auto told = cancelled_told_.find(task.first);
+    if (told != cancelled_told_.end() && queue_.now() > told->second + cancel_s_ + sweep_slack_s)
+      breach("ran_cancelled", task.first + " still on " + places.begin()->first);
+  }
+}
+
+std::size_t Rules::on_now(const std::string& job_class) const {
+  return static_cast<std::size_t>(std::count_if(on_.begin(), on_.end(), [&](const auto& each) {
+    return jobs_.at(each.first.first).job_class == job_class;
+  }));
+}
+
+}  // namespace poppystile::world
--- /dev/null
+++ b/tests/world/rules.hpp
@@ -0,0 +1,65 @@
+// The rules of PROTOCOL, checked at every step of the world.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/submission.hpp"
+#include "world/event_queue.hpp"
+
+namespace poppystile::world {
+
+struct Place {
+  std::string machine;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+};
+
+class Rules {
+ public:
+  Rules(EventQueue& queue, double cancel_s) : queue_(queue), cancel_s_(cancel_s) {}
+
+  void team(const std::string& name, std::int64_t cpus_max) { limits_[name] = cpus_max; }
+  void submitted(const protocol::JobSpec& job) { jobs_[job.id] = job; }
+  const protocol::JobSpec* job(const std::string& id) const;
+
+  // What happens on machines.
+  void on_machine(const std::string& job, std::uint32_t index, const Place& place);
+  void off_machine(const std::string& job, std::uint32_t index, const std::string& machine);
+  void completed(const std::string& job, std::uint32_t index);
+  bool is_completed(const std::string& job, std::uint32_t index) const;
+  // What users are told.
+  void told(const std::string& job, int status, const std::string& state, bool poll);
+  void told_cancelled(const std::string& job);
+  // Called now and then.
+  void sweep();
+
+  const std::vector<std::string>& broken() const { return broken_; }
+  std::uint64_t starts() const { return starts_; }
+  std::size_t done_jobs() const { return done_.size(); }
+  std::size_t accepted_jobs() const { return accepted_.size(); }
+  std::size_t cancelled_jobs() const { return cancelled_told_.size(); }
+  std::size_t on_now(const std::string& job_class) const;
+
+ private:
+  using Task = std::pair<std::string, std::uint32_t>;
+  void breach(const std::string& rule, const std::string& detail);
+
+  EventQueue& queue_;
+  double cancel_s_;
+  std::map<std::string, std::int64_t> limits_;
+  std::map<std::string, protocol::JobSpec> jobs_;
+  std::map<Task, std::map<std::string, Place>> on_;
+  std::map<std::string, std::int64_t> team_cpus_;
+  std::map<std::string, std::set<std::uint32_t>> completed_;
+  std::set<std::string> accepted_;
+  std::set<std::string> done_;
+  std::map<std::string, double> cancelled_told_;
+  std::vector<std::string> broken_;
+  std::uint64_t starts_ = 0;
+};
+
+}  // namespace poppystile::world
--- /dev/null
+++ b/tests/world/worker.hpp
@@ -0,0 +1,88 @@
+// Stand-in for a worker, after PROTOCOL: reports, commands, tokens, sessions, leases, images.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "protocol/cloud_messages.hpp"
+#include "protocol/json.hpp"
+#include "transport/http.hpp"
+#include "world/event_queue.hpp"
+#include "world/rules.hpp"
+
+namespace poppystile::world {
+
+struct WorkerTimes {
+  double report_s = 1;
+  double lease_s = 10;
+};
+
+class Worker {
+ public:
+  using Reply = std::function<void(transport::HttpResponse)>;
+  // Sends a report to a node; the network decides what becomes of it.
+  using Send = std::function<void(const std::string& node, const Worker& from, std::string body,
+                                  Reply reply)>;
+  Worker(EventQueue& queue, Rules& rules, const Place& place, const protocol::MachineType& type,
+         const WorkerTimes& times, std::vector<std::string> nodes, Send send);
+  void start();
+  void stop();  // the machine is gone
+  void hang(double for_s);
+  void fail_everything(bool on) { sick_ = on; }
+  void notice(double in_s);
+  const Place& place() const { return place_; }
+  bool alive() const { return alive_; }
+
+ private:
+  using Json = protocol::Json;
+  struct Task {
+    std::string job;
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    std::string stage;  // pulling, running, exited
+    std::string cause;
+    std::uint64_t life = 0;  // tells whether a timer still concerns it
+  };
+
+  bool hanging() const { return queue_.now() < hung_until_; }
+  void report_soon(double delay);
+  void report();
+  void answered(std::uint64_t number, std::uint64_t session, double sent,
+                const transport::HttpResponse& response);
+  void next_node();
+  void command(const Json& order);
+  void start_task(const std::string& name, std::uint64_t attempt);
+  void image_there(std::uint64_t life);
+  void finish(std::uint64_t life, const std::string& cause);
+  Task* by_life(std::uint64_t life);
+  void leave(Task& task, const std::string& cause);
+  void watch_lease();
+  void kill_all();
+  bool room_for(const protocol::JobSpec& spec) const;
+  std::string body();
+  void changed();
+
+  EventQueue& queue_;
+  Rules& rules_;
+  Place place_;
+  protocol::MachineType type_;
+  WorkerTimes times_;
+  std::vector<std::string> nodes_;
+  std::size_t node_ = 0;
+  Send send_;
+  bool alive_ = true;
+  bool sick_ = false;
+  double hung_until_ = 0;
+  double notice_at_ = -1;
+  std::uint64_t session_ = 1, sequence_ = 0, token_ = 0, lives_ = 0, reports_ = 0;
+  std::uint64_t in_flight_ = 0;  // number of the report waited for; 0: none
+  double lease_from_ = 0;
+  double last_report_ = -100;
+  double due_ = 0;
+  std::vector<Task> tasks_;
+  std::map<std::string, double> images_;  // when they are, or will be, there
+};
+
+}  // namespace poppystile::world
--- /dev/null
+++ b/tests/world/world.cpp
@@ -0,0 +1,329 @@
+#include "world/world.hpp"
+
+#include <algorithm>
+
+namespace poppystile::world {
+
+using transport::Endpoint;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+namespace {
+const Endpoint state_endpoint{"10.2.0.1", 2379};
+constexpr double user_patience_s = 5;
+constexpr double poll_patience_s = 2;
+constexpr double poll_every_s = 5;
+constexpr double retry_after_s = 1;
+}  // namespace
+
+// One controller: the real node over simulated time, network and siblings.
+struct World::Controller : transport::Runtime, transport::HttpCaller, transport::PeerNet {
+  Controller(World& w, int number_) : world(w), number(number_) {
+    name = "stile-" + std::to_string(number);
+    clock_rate = 1 + world.queue_.uniform(0, 0.0005);
+    wall_off = world.queue_.uniform(-0.1, 0.1);
+  }
+
+  // The steady clock of each machine drifts within PROTOCOL's bound.
+  double now_s() const override { return 1000 + world.queue_.now() * clock_rate; }
+  double wall_s() const override { return 1.7e9 + world.queue_.now() + wall_off; }
+  void after(double delay, std::function<void()> action) override {
+    std::weak_ptr<int> mine = life;
+    world.queue_.after(std::max(0.0, delay) / clock_rate + 0.0005,
+                       [mine, action = std::move(action)] {
+                         if (!mine.expired()) action();
+                       });
+  }
+
+  void call(const Endpoint& to, HttpRequest request, double timeout_s,
+            std::function<void(HttpResponse)> done) override {
+    std::weak_ptr<int> mine = life;
+    auto settled = std::make_shared<bool>(false);
+    const auto settle = [mine, settled, done = std::move(done)](HttpResponse response) {
+      if (mine.expired() || std::exchange(*settled, true)) return;
+      done(std::move(response));
+    };
+    world.queue_.after(timeout_s, [settle] { settle({}); });
+    const bool state = to == state_endpoint;
+    if (state && cut.state) {
+      // Held packets arrive when the cut ends, though the sender has given up by then.
+      if (cut.hold) held.push_back([this, request] { world.state_->handle(request, [](auto) {}); });
+      return;
+    }
+    const double there = world.queue_.chance(0.01) ? 0.3 : world.queue_.uniform(0.001, 0.004);
+    world.queue_.after(there, [this, state, request, settle] {
+      const auto reply = [this, state, settle](HttpResponse response) {
+        if (state && world.queue_.chance(world.settings_.lose_answers)) return;
+        world.queue_.after(world.queue_.uniform(0.001, 0.004),
+                           [settle, response] { settle(response); });
+      };
+      if (state) {
+        world.state_->handle(request, reply);
+      } else {
+        world.cloud_->handle(request, reply);
+      }
+    });
+  }
+
+  void broadcast(const std::string& frame) override {
+    if (cut.peers) return;
+    for (auto& other : world.controllers_) {
+      if (other.get() == this || other->cut.peers) continue;
+      Controller* to = other.get();
+      world.queue_.after(0.002, [to, frame] {
+        if (to->node && to->on_peer) to->on_peer(frame);
+      });
+    }
+  }
+  void on_frame(std::function<void(const std::string&)> handler) override {
+    on_peer = std::move(handler);
+  }
+
+  World& world;
+  int number;
+  std::string name;
+  double clock_rate = 1;
+  double wall_off = 0;
+  Cut cut;
+  std::vector<std::function<void()>> held;
+  protocol::Settings settings;
+  protocol::Properties properties;
+  std::shared_ptr<int> life;
+  std::function<void(const std::string&)> on_peer;
+  std::unique_ptr<coordination::Node> node;
+};
+
+World::World(const WorldSettings& settings)
+    : settings_(settings), queue_(settings.seed), rules_(queue_, settings.cancel_s) {
+  state_ = std::make_unique<StateService>(queue_, settings.state_rps, settings.state_write_rps,
+                                          settings.txn_ops);
+  cloud_ = std::make_unique<Cloud>(queue_, settings.list_lag_s);
+  for (const auto& team : settings.teams)
+    rules_.team(team.name, static_cast<std::int64_t>(team.cpus_max * 1000));
+  std::vector<std::string> names;
+  for (int i = 0; i < settings.nodes; ++i) names.push_back("stile-" + std::to_string(i));
+  cloud_->on_up = [this, names](const Rented& rented, const protocol::MachineType& type) {
+    auto worker = std::make_unique<Worker>(
+        queue_, rules_, Place{rented.id, rented.type, rented.zone, rented.spot}, type,
+        WorkerTimes{settings_.report_s, settings_.lease_s}, names,
+        [this](const std::string& node, const Worker& from, std::string body, Worker::Reply reply) {
+          send_report(node, from, std::move(body), std::move(reply));
+        });
+    worker->start();
+    workers_[rented.id] = std::move(worker);
+  };
+  cloud_->on_gone = [this](const std::string& id) {
+    const auto it = workers_.find(id);
+    if (it == workers_.end()) return;
+    it->second->stop();
+    gone_.push_back(std::move(it->second));
+    workers_.erase(it);
+  };
+}
+
+World::~World() = default;
+
+void World::start() {
+  for (int i = 0; i < settings_.nodes; ++i)
+    controllers_.push_back(std::make_unique<Controller>(*this, i));
+  for (int i = 0; i < settings_.nodes; ++i) boot(i);
+  sweep();
+}
+
+void World::boot(int number) {
+  Controller& self = *controllers_[static_cast<std::size_t>(number)];
+  protocol::Settings& s = self.settings;
+  s.name = self.name;
+  s.zone = settings_.zones[static_cast<std::size_t>(number) % settings_.zones.size()];
+  s.state = state_endpoint;
+  s.cloud = {"10.2.0.2", 8443};
+  s.zones = settings_.zones;
+  s.teams = settings_.teams;
+  s.report_s = settings_.report_s;
+  s.lease_s = settings_.lease_s;
+  s.cancel_s = settings_.cancel_s;
+  s.state_rps = settings_.state_rps;
+  s.state_write_rps = settings_.state_write_rps;
+  s.txn_ops = settings_.txn_ops;
+  s.cloud_rps = 6;
+  s.list_lag_s = settings_.list_lag_s;
+  s.siblings.clear();
+  for (int i = 0; i < settings_.nodes; ++i)
+    if (i != number) s.siblings.push_back({"stile-" + std::to_string(i), "a", {"10.0.0.9", 1}});
+  self.life = std::make_shared<int>(0);
+  self.node = std::make_unique<coordination::Node>(self, self, self, self.settings, self.properties,
+                                                   queue_.random());
+  self.node->start();
+}
+
+// --- network ---
+
+void World::send_report(const std::string& node, const Worker&, std::string body,
+                        Worker::Reply reply) {
+  for (auto& each : controllers_) {
+    if (each->name != node) continue;
+    Controller* to = each.get();
+    if (to->cut.workers) {
+      if (to->cut.hold)
+        to->held.push_back([to, body] {
+          if (to->node) to->node->handle({"POST", "/agent/beat", body}, [](auto) {});
+        });
+      return;
+    }
+    queue_.after(queue_.uniform(0.0005, 0.003), [this, to, body, reply] {
+      if (!to->node) return reply({0, ""});
+      to->node->handle({"POST", "/agent/beat", body}, [this, to, reply](HttpResponse response) {
+        if (to->cut.workers) return;
+        queue_.after(queue_.uniform(0.0005, 0.003), [reply, response] { reply(response); });
+      });
+    });
+  }
+}
+
+void World::user_call(const std::string& method, const std::string& target, const std::string& body,
+                      std::function<void(HttpResponse)> done) {
+  std::vector<Controller*> up;
+  for (auto& each : controllers_)
+    if (each->node && !each->cut.users) up.push_back(each.get());
+  if (up.empty()) return queue_.after(0.5, [done] { done({}); });
+  Controller* to = up[static_cast<std::size_t>(queue_.uniform(0, static_cast<double>(up.size())))];
+  auto settled = std::make_shared<bool>(false);
+  const auto settle = [settled, done = std::move(done)](HttpResponse response) {
+    if (!std::exchange(*settled, true)) done(std::move(response));
+  };
+  queue_.after(method == "GET" ? poll_patience_s : user_patience_s, [settle] { settle({}); });
+  queue_.after(0.002, [this, to, method, target, body, settle] {
+    if (!to->node) return settle({});
+    to->node->handle({method, target, body}, [this, settle](HttpResponse response) {
+      queue_.after(0.002, [settle, response] { settle(response); });
+    });
+  });
+}
+
+// --- users ---
+
+void World::submit(const protocol::JobSpec& job) {
+  rules_.submitted(job);
+  bodies_[job.id] = protocol::encode_submission(job).dump();
+  resubmit(job.id);
+}
+
+void World::resubmit(const std::string& id) {
+  user_call("POST", "/submissions", bodies_[id], [this, id](HttpResponse response) {
+    if (response.status == 201 || response.status == 200) {
+      const auto stage = protocol::parse_object(response.body).at("stage").get<std::string>();
+      rules_.told(id, response.status, stage, false);
+      return queue_.after(poll_every_s, [this, id] { poll(id); });
+    }
+    rules_.told(id, response.status, "", false);
+    if (response.status == 400 || response.status == 422) return;
+    queue_.after(retry_after_s, [this, id] { resubmit(id); });
+  });
+}
+
+void World::poll(const std::string& id) {
+  user_call("GET", "/submissions/" + id, "", [this, id](HttpResponse response) {
+    std::string stage;
+    if (response.status == 200) stage = protocol::parse_object(response.body).at("stage");
+    rules_.told(id, response.status, stage, true);
+    if (stage == "done" || stage == "aborted") finished_.insert(id);
+    // Users ask again later too, though more seldom.
+    const double next = finished_.contains(id) ? 10 * poll_every_s : poll_every_s;
+    queue_.after(next, [this, id] { poll(id); });
+  });
+}
+
+void World::cancel(const std::string& id) {
+  cancelling_.insert(id);
+  user_call("POST", "/submissions/" + id + "/cancel", "", [this, id](HttpResponse response) {
+    if (response.status == 404) return rules_.told(id, 404, "", true);
+    if (response.status != 200) return queue_.after(retry_after_s, [this, id] { cancel(id); });
+    const auto stage = protocol::parse_object(response.body).at("stage").get<std::string>();
+    if (stage == "aborted") rules_.told_cancelled(id);
+    rules_.told(id, 200, stage, true);
+  });
+}
+
+void World::ask_unknown(const std::string& id) {
+  user_call("GET", "/submissions/" + id, "",
+            [this, id](HttpResponse response) { rules_.told(id, response.status, "?", true); });
+}
+
+std::string World::any_job(const std::string& job_class, bool finished) const {
+  for (const auto& [id, body] : bodies_)
+    if (rules_.job(id)->job_class == job_class && finished_.contains(id) == finished &&
+        (finished || !cancelling_.contains(id)))
+      return id;
+  return "";
+}
+
+// --- faults ---
+
+int World::pick_node(const std::string& which) {
+  if (which == "leader") {
+    for (auto& each : controllers_)
+      if (each->node && each->node->leads()) return each->number;
+  }
+  if (which == "leader" || which == "any")
+    return static_cast<int>(queue_.uniform(0, static_cast<double>(controllers_.size())));
+  return std::stoi(which);
+}
+
+void World::crash(int number, double back_after_s) {
+  Controller& self = *controllers_[static_cast<std::size_t>(number)];
+  if (!self.node) return;
+  self.life.reset();
+  self.on_peer = nullptr;
+  self.node.reset();
+  queue_.after(back_after_s, [this, number] { boot(number); });
+}
+
+void World::cut(int number, const Cut& how) {
+  controllers_[static_cast<std::size_t>(number)]->cut = how;
+}
+
+void World::heal(int number) {
+  Controller& self = *controllers_[static_cast<std::size_t>(number)];
+  self.cut = {};
+  for (auto& each : std::exchange(self.held, {})) each();
+}
+
+std::vector<Worker*> World::some_workers(int count) {
+  std::vector<Worker*> out;
+  for (auto& [id, each] : workers_) out.push_back(each.get());
+  std::shuffle(out.begin(), out.end(), queue_.random);
+  if (out.size() > static_cast<std::size_t>(count)) out.resize(static_cast<std::size_t>(count));
+  return out;
+}
+
+void World::hang_machines(int count, double for_s) {
+  for (Worker* each : some_workers(count)) each->hang(for_s);
+}
+
+void World::kill_machines(int count) {
+  for (Worker* each : some_workers(count)) cloud_->fail(std::string(each->place().machine));
+}
+
+void World::sicken_machines(int count, double for_s) {
+  for (Worker* each : some_workers(count)) {
+    each->fail_everything(true);
+    queue_.after(for_s, [each] { each->fail_everything(false); });
+  }
+}
+
+void World::take_spot(double share, double notice_s) {
+  std::vector<std::string> ids;
+  for (auto& [id, each] : workers_)
+    if (each->place().spot && queue_.chance(share)) ids.push_back(id);
+  for (const auto& id : ids) {
+    if (notice_s > 0) workers_[id]->notice(notice_s);
+    queue_.after(notice_s, [this, id] { cloud_->take(id); });
+  }
+}
+
+void World::sweep() {
+  rules_.sweep();
+  queue_.after(0.5, [this] { sweep(); });
+}
+
+}  // namespace poppystile::world
--- /dev/null
+++ b/tests/world/world.hpp
@@ -0,0 +1,93 @@
+// The simulated world: controllers (the real code), state service, cloud, workers, users, faults.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/node.hpp"
+#include "world/cloud.hpp"
+#include "world/event_queue.hpp"
+#include "world/rules.hpp"
+#include "world/state_service.hpp"
+#include "world/worker.hpp"
+
+namespace poppystile::world {
+
+struct WorldSettings {
+  int nodes = 3;
+  std::uint64_t seed = 1;
+  double report_s = 1, lease_s = 10, cancel_s = 35;
+  double state_rps = 250, state_write_rps = 40;
+  int txn_ops = 32;
+  double list_lag_s = 3;
+  double lose_answers = 0;  // share of the state service's answers that never arrive
+  std::vector<std::string> zones = {"a", "b"};
+  std::vector<protocol::TeamSettings> teams;
+};
+
+// What a node cannot reach or be reached by.
+struct Cut {
+  bool state = false, workers = false, peers = false, users = false;
+  bool hold = false;  // what was sent is delivered when the cut ends
+};
+
+class World {
+ public:
+  explicit World(const WorldSettings& settings);
+  ~World();
+
+  EventQueue& queue() { return queue_; }
+  Cloud& cloud() { return *cloud_; }
+  Rules& rules() { return rules_; }
+  void start();
+
+  // Users.
+  void submit(const protocol::JobSpec& job);
+  void resubmit(const std::string& id);
+  void cancel(const std::string& id);
+  void ask_unknown(const std::string& id);
+  std::string any_job(const std::string& job_class, bool finished) const;
+
+  // Faults. A node is "any", "leader", or a number.
+  int pick_node(const std::string& which);
+  void crash(int node, double back_after_s);
+  void cut(int node, const Cut& cut);
+  void heal(int node);
+  void state_down(bool down) { state_->set_down(down); }
+  void hang_machines(int count, double for_s);
+  void kill_machines(int count);
+  void sicken_machines(int count, double for_s);
+  void take_spot(double share, double notice_s);
+
+  std::size_t accepted() const { return rules_.accepted_jobs(); }
+  std::uint64_t state_refused() const { return state_->refused(); }
+
+ private:
+  struct Controller;
+
+  void boot(int node);
+  void user_call(const std::string& method, const std::string& target, const std::string& body,
+                 std::function<void(transport::HttpResponse)> done);
+  void poll(const std::string& id);
+  void send_report(const std::string& node, const Worker& from, std::string body,
+                   Worker::Reply reply);
+  std::vector<Worker*> some_workers(int count);
+  void sweep();
+
+  WorldSettings settings_;
+  EventQueue queue_;
+  Rules rules_;
+  std::unique_ptr<StateService> state_;
+  std::unique_ptr<Cloud> cloud_;
+  std::vector<std::unique_ptr<Controller>> controllers_;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  std::vector<std::unique_ptr<Worker>> gone_;
+  std::map<std::string, std::string> bodies_;
+  std::set<std::string> cancelling_;
+  std::set<std::string> finished_;
+};
+
+}  // namespace poppystile::world
