--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -116,6 +116,9 @@
 inline constexpr double fleet_pass_s = 1.0;
 // machines in one rental request; PROTOCOL's bound.
 inline constexpr int max_hire = 50;
+// seconds; a machine for a service is worth twice its price when its replica is up this much
+// sooner. About a boot: below it price decides, far above it speed does.
+inline constexpr double service_delay_worth_s = 30.0;
 // share of the running services' cores kept free or booting for the next ones.
 inline constexpr double service_reserve = 0.12;
 
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -142,7 +142,7 @@
             continue;
           // Fewer of a kind already there is preferred a little: no zone should hold everything.
           const double price = (spot ? type.spot_price : type.price) / static_cast<double>(abreast);
-          const double score = price * (1 + 0.02 * present(offer));
+          const double score = price * (1 + 0.02 * present(offer)) * delay_factor(spec, type);
           if (!best || score < least) {
             best = offer;
             least = score;
@@ -152,6 +152,14 @@
     return best;
   }
 
+  // A service counts from its submission on, so a type that boots and fetches slowly is worth less
+  // to it. Arrays wait for their deadline anyway.
+  static double delay_factor(const JobSpec& spec, const MachineType& type) {
+    if (spec.kind != JobKind::service) return 1;
+    const double delay = type.boot_s + spec.image_gb / type.fetch_gb_per_s;
+    return 1 + delay / constants::service_delay_worth_s;
+  }
+
   int present(const Offer& offer) const {
     return static_cast<int>(std::count_if(bins_.begin(), bins_.end(), [&](const Bin& bin) {
       return bin.like.type == offer.type && bin.like.zone == offer.zone &&
