--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -64,6 +64,7 @@
   }
 
   Plan run() {
+    find_guaranteed();
     std::vector<const Job*> services;
     std::map<int, std::vector<const Job*>, std::greater<>> arrays;
     for (const auto& [id, job] : model_.jobs) {
@@ -75,21 +76,56 @@
         arrays[static_cast<int>(job.spec().priority)].push_back(&job);
       }
     }
+    const auto comes_first = [this](const Job* a, const Job* b) { return before(a, b); };
     std::stable_sort(services.begin(), services.end(), comes_first);
     for (const Job* job : services) place_service(*job);
     for (auto& [priority, batch] : arrays) {
       std::stable_sort(batch.begin(), batch.end(), comes_first);
       place_batch(batch);
+      claim_guarantees(batch);
     }
     return std::move(plan_);
   }
 
  private:
-  static bool comes_first(const Job* a, const Job* b) {
+  bool before(const Job* a, const Job* b) const {
     if (a->spec().priority != b->spec().priority) return a->spec().priority > b->spec().priority;
+    const bool a_guaranteed = guaranteed_.contains(a);
+    if (a_guaranteed != guaranteed_.contains(b)) return a_guaranteed;
     return a->record.accepted_wall_s < b->record.accepted_wall_s;
   }
 
+  // A job is within its team's guarantee when it fits into it together with the team's earlier
+  // unfinished jobs.
+  void find_guaranteed() {
+    for (const auto& team : *context_.teams) {
+      std::vector<const Job*> jobs;
+      for (const auto& [id, job] : model_.jobs)
+        if (job.spec().team == team.name && !job.record.cancelled) jobs.push_back(&job);
+      std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+        return a->record.accepted_wall_s < b->record.accepted_wall_s;
+      });
+      std::int64_t cpus = 0;
+      std::int64_t gpus = 0;
+      for (const Job* job : jobs) {
+        cpus += job->spec().each.cpus * job->spec().tasks;
+        gpus += job->spec().each.gpus * job->spec().tasks;
+        if (cpus <= std::llround(team.cpus * 1000) && gpus <= std::llround(team.gpus * 1000))
+          guaranteed_.insert(job);
+      }
+    }
+  }
+
+  // Whether work of `owner` may be stopped for a task of `job`.
+  bool yields_to(const Job& owner, const Job& job) const {
+    if (owner.spec().priority < job.spec().priority) return true;
+    // A replica of higher priority is left alone: its pause costs its users more than the wait.
+    if (owner.spec().kind == JobKind::service && owner.spec().priority > job.spec().priority)
+      return false;
+    return owner.spec().team != job.spec().team && guaranteed_.contains(&job) &&
+           !guaranteed_.contains(&owner);
+  }
+
   Slot slot_of(const Machine& machine) const {
     Slot slot;
     slot.machine = &machine;
@@ -178,7 +214,7 @@
       if (best != nullptr) {
         commit(*best, spec);
       } else {
-        make_room(spec);
+        make_room(job);
       }
     }
   }
@@ -196,7 +232,8 @@
   }
 
   // Stops lower work where that frees a place, the least of it. Room already on its way counts.
-  void make_room(const JobSpec& job) {
+  void make_room(const Job& waiting) {
+    const JobSpec& job = waiting.spec();
     for (auto& slot : slots_) {
       Resources coming = slot.room;
       coming += slot.stopping;
@@ -210,7 +247,7 @@
     std::vector<const Placement*> least;
     for (auto& slot : slots_) {
       if (!may_run_on(job, *slot.machine) || !zone_allows(job, slot.machine->zone)) continue;
-      auto victims = victims_on(slot, job);
+      auto victims = victims_on(slot, waiting);
       if (victims.empty() || (best != nullptr && victims.size() >= least.size())) continue;
       best = &slot;
       least = std::move(victims);
@@ -224,14 +261,15 @@
     best->stopping -= job.each;
   }
 
-  std::vector<const Placement*> victims_on(const Slot& slot, const JobSpec& job) const {
+  std::vector<const Placement*> victims_on(const Slot& slot, const Job& waiting) const {
+    const JobSpec& job = waiting.spec();
     std::vector<const Placement*> candidates;
     for (const auto& placement : slot.machine->placements) {
       const auto owner = model_.jobs.find(placement.job);
       if (owner == model_.jobs.end() || placement.stopping || stopped_.contains(&placement) ||
           placement.phase == PlacementPhase::exited)
         continue;
-      if (owner->second.spec().priority < job.priority) candidates.push_back(&placement);
+      if (yields_to(owner->second, waiting)) candidates.push_back(&placement);
     }
     // The youngest lose the least.
     std::sort(candidates.begin(), candidates.end(),
@@ -267,6 +305,17 @@
     }
   }
 
+  // What a team has been promised is taken back from teams that borrow, for arrays too.
+  void claim_guarantees(const std::vector<const Job*>& batch) {
+    std::map<std::string, std::uint32_t> placed;
+    for (const auto& each : plan_.placements) ++placed[each.job];
+    for (const Job* job : batch) {
+      if (!guaranteed_.contains(job)) continue;
+      const std::uint32_t left = job->waiting() - placed[job->spec().id];
+      for (std::uint32_t i = 0; i < std::min(left, team_room(job->spec())); ++i) make_room(*job);
+    }
+  }
+
   LablJob labl_job(const Job& job) {
     const JobSpec& spec = job.spec();
     LablJob out;
@@ -308,6 +357,7 @@
   std::map<std::string, Resources> used_;
   std::map<std::string, std::map<std::string, std::uint32_t>> in_zone_;
   std::set<const Placement*> stopped_;
+  std::set<const Job*> guaranteed_;
   Plan plan_;
 };
 
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -125,6 +125,21 @@
   EXPECT_TRUE(plan().stops.empty());
 }
 
+// Work that another team runs beyond its guarantee gives way, whatever its priority.
+TEST_F(PlannerTest, GuaranteeTakesBackWhatIsBorrowed) {
+  teams = {{"ops", 2, 0, 0, 0}, {"lab", 4, 0, 0, 0}};
+  add(model, spec("req-1", JobKind::array, 4, Priority::high));
+  add(model, "a1", 8);
+  apply(plan());
+  JobSpec promised = spec("req-2", JobKind::array, 2, Priority::normal);
+  promised.team = "lab";
+  add(model, promised);
+  EXPECT_EQ(plan().stops.size(), 2u);
+  model.jobs.at("req-2").record.spec.tasks = 3;  // beyond the guarantee: no claim
+  model.jobs.at("req-2").phases.assign(3, TaskPhase::waiting);
+  EXPECT_TRUE(plan().stops.empty());
+}
+
 TEST_F(PlannerTest, SpreadAndOneZoneAreKept) {
   JobSpec apart = spec("req-1", JobKind::array, 5, Priority::normal);
   apart.spread = true;
