--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,8 +1,10 @@
 // The program: command line, settings, logging, and one controller until it is killed.
+#include <spdlog/sinks/dup_filter_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -21,9 +23,13 @@
 using namespace poppystile;
 
 constexpr int exit_bad_settings = 2;
+constexpr std::chrono::seconds log_repeat_window{5};
 
 void set_up_logging() {
-  auto logger = spdlog::stderr_logger_st("poppystile");
+  // A line that repeats itself, such as one about malformed reports, is written once and counted.
+  auto once = std::make_shared<spdlog::sinks::dup_filter_sink_st>(log_repeat_window);
+  once->add_sink(std::make_shared<spdlog::sinks::stderr_sink_st>());
+  auto logger = std::make_shared<spdlog::logger>("poppystile", once);
   spdlog::set_default_logger(logger);
   spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
   const char* level = std::getenv("LOG_LEVEL");
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -38,6 +38,9 @@
 // keys a page; PROTOCOL allows 1,000 or 512 KiB.
 inline constexpr int list_page = 500;
 
+// calls for users that may wait for the rate limit; at the usual rates these are out in a second.
+inline constexpr std::size_t most_waiting_users = 60;
+
 // --- leadership ---
 // milliseconds; life of the leader's grant: long enough to ride out lost packets and slow
 // answers, short enough that workers' leases outlast a takeover.
--- a/src/coordination/state_store.cpp
+++ b/src/coordination/state_store.cpp
@@ -76,6 +76,10 @@
   writes_.set_share(share);
 }
 
+bool StateStore::crowded() const {
+  return waiting_[static_cast<std::size_t>(Urgency::user)].size() > constants::most_waiting_users;
+}
+
 void StateStore::enqueue(Urgency urgency, Call call) {
   call.urgent = urgency == Urgency::user;
   if (urgency == Urgency::lease) return send(std::move(call));
--- a/src/coordination/state_store.hpp
+++ b/src/coordination/state_store.hpp
@@ -55,6 +55,9 @@
              const protocol::Settings& settings);
 
   void set_share(double share);
+  // Whether users' calls pile up faster than the limits let them out: then new ones are turned
+  // away at once rather than answered too late.
+  bool crowded() const;
   // Steady time at which the newest answered call was sent; 0: never.
   double last_contact_s() const { return last_contact_s_; }
   // Time of day of the same.
