Tidy after rereading: one catalog encoder, one turn-away check, no dead state

The catalog's wire words were spelled out in bookkeeping and again in the tests' cloud; they now stand in protocol beside their reader, pinned by a test against PROTOCOL's example. No behaviour changes.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,7 +4,6 @@
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
-#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -23,11 +22,10 @@
 using namespace poppystile;
 
 constexpr int exit_bad_settings = 2;
-constexpr std::chrono::seconds log_repeat_window{5};
 
 void set_up_logging() {
   // A line that repeats itself, such as one about malformed reports, is written once and counted.
-  auto once = std::make_shared<spdlog::sinks::dup_filter_sink_st>(log_repeat_window);
+  auto once = std::make_shared<spdlog::sinks::dup_filter_sink_st>(constants::log_repeat_window);
   once->add_sink(std::make_shared<spdlog::sinks::stderr_sink_st>());
   auto logger = std::make_shared<spdlog::logger>("poppystile", once);
   spdlog::set_default_logger(logger);
--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -36,7 +36,6 @@
   double retry_at_s = 0;  // steady; failed tasks wait until then
   double retry_pause_s = 0;
   std::set<std::string> failed_on;  // machines, since a task last completed
-  bool closing = false;             // its final record is on its way
 
   const JobSpec& spec() const { return record.spec; }
   std::uint32_t waiting() const { return spec().tasks - placed - finished - done; }
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -125,19 +125,9 @@
 }
 
 Json encode_catalog(const std::vector<protocol::MachineType>& types) {
-  Json list = Json::array();
-  for (const auto& each : types)
-    list.push_back({{"sku", each.name},
-                    {"cores", static_cast<double>(each.size.cpus) / 1000},
-                    {"gpus", static_cast<double>(each.size.gpus) / 1000},
-                    {"ram_gb", static_cast<double>(each.size.memory) / 1000},
-                    {"local_gb", each.cache_gb},
-                    {"fetch_gb_per_s", each.fetch_gb_per_s},
-                    {"rate", each.price},
-                    {"low_price", each.spot_price},
-                    {"boot_s", each.boot_s},
-                    {"yards", each.zones}});
-  return {{"v", version}, {"builds", std::move(list)}};
+  Json value = protocol::encode_catalog(types);
+  value["v"] = version;
+  return value;
 }
 
 std::vector<protocol::MachineType> decode_catalog(const Json& value) {
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -2,6 +2,7 @@
 // Nothing here describes one deployment: what depends on a site is derived from its settings.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -23,6 +24,10 @@
 // bytes; a frame between siblings holds a short status, anything larger is garbage.
 inline constexpr std::size_t max_peer_frame_bytes = 256 * 1024;
 
+// --- log ---
+// a line equal to the one before it is only counted for this long: enough to hold back a flood.
+inline constexpr std::chrono::seconds log_repeat_window{5};
+
 // --- state service ---
 // seconds; answers usually take 10 ms and now and then a few hundred.
 inline constexpr double state_timeout_s = 2.0;
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -40,6 +40,8 @@
       settings_(settings),
       counts_(std::move(counts)) {}
 
+bool UserDesk::must_turn_away() const { return !directory_.loaded() || store_.crowded(); }
+
 bool UserDesk::patient(double since_s) const {
   return runtime_.now_s() - since_s < constants::accept_patience_s;
 }
@@ -143,7 +145,7 @@
   const KnownJob* known = directory_.job(id);
   if (directory_.final_state(id) || (known != nullptr && known->record.cancelled))
     return answer_state(id, true, respond);
-  if (!directory_.loaded() || store_.crowded()) return respond(later());
+  if (must_turn_away()) return respond(later());
   verify(id, [this, id, respond = std::move(respond)](Certainty certainty) {
     if (certainty == Certainty::unsure) return respond(later());
     if (certainty == Certainty::absent) return respond(not_found());
@@ -160,7 +162,7 @@
   } catch (const protocol::DecodeError& problem) {
     return respond({400, protocol::encode_error(problem.what())});
   }
-  if (!directory_.loaded() || store_.crowded()) return respond(later());
+  if (must_turn_away()) return respond(later());
   if (directory_.final_state(job.id) || directory_.job(job.id) != nullptr)
     return answer_current(job.id, std::move(respond));
   if (directory_.types().empty())
@@ -247,7 +249,7 @@
 
 void UserDesk::cancel(const std::string& id, Respond respond) {
   if (!protocol::valid_job_id(id)) return respond(not_found());
-  if (!directory_.loaded() || store_.crowded()) return respond(later());
+  if (must_turn_away()) return respond(later());
   mark_cancelled(id, runtime_.now_s(), std::move(respond));
 }
 
--- a/src/coordination/user_desk.hpp
+++ b/src/coordination/user_desk.hpp
@@ -46,6 +46,7 @@
   std::string refusal(protocol::JobSpec& job) const;
   void accept(protocol::JobSpec job, double since_s, transport::Respond respond);
   void mark_cancelled(const std::string& id, double since_s, transport::Respond respond);
+  bool must_turn_away() const;
   bool patient(double since_s) const;
 
   transport::Runtime& runtime_;
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -40,7 +40,7 @@
   FleetPlan run() {
     std::vector<const Job*> jobs;
     for (const auto& [id, job] : model_.jobs)
-      if (!job.record.cancelled && !job.closing) jobs.push_back(&job);
+      if (!job.record.cancelled) jobs.push_back(&job);
     std::stable_sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
       if (a->spec().kind != b->spec().kind) return a->spec().kind == JobKind::service;
       return a->spec().priority > b->spec().priority;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -68,7 +68,7 @@
     std::vector<const Job*> services;
     std::map<int, std::vector<const Job*>, std::greater<>> arrays;
     for (const auto& [id, job] : model_.jobs) {
-      if (job.record.cancelled || job.closing || job.waiting() == 0) continue;
+      if (job.record.cancelled || job.waiting() == 0) continue;
       if (job.retry_at_s > context_.now_s) continue;
       if (job.spec().kind == JobKind::service) {
         services.push_back(&job);
--- a/src/protocol/cloud_messages.cpp
+++ b/src/protocol/cloud_messages.cpp
@@ -22,6 +22,22 @@
   return out;
 }
 
+Json encode_catalog(const std::vector<MachineType>& types) {
+  Json list = Json::array();
+  for (const auto& each : types)
+    list.push_back({{"sku", each.name},
+                    {"cores", static_cast<double>(each.size.cpus) / 1000},
+                    {"gpus", static_cast<double>(each.size.gpus) / 1000},
+                    {"ram_gb", static_cast<double>(each.size.memory) / 1000},
+                    {"local_gb", each.cache_gb},
+                    {"fetch_gb_per_s", each.fetch_gb_per_s},
+                    {"rate", each.price},
+                    {"low_price", each.spot_price},
+                    {"boot_s", each.boot_s},
+                    {"yards", each.zones}});
+  return {{"builds", std::move(list)}};
+}
+
 std::string encode_hire(const std::string& request, const std::string& type,
                         const std::string& zone, bool spot, int count) {
   return Json{
--- a/src/protocol/cloud_messages.hpp
+++ b/src/protocol/cloud_messages.hpp
@@ -40,6 +40,7 @@
 
 // All parsers throw DecodeError.
 std::vector<MachineType> parse_catalog(const Json& root);
+Json encode_catalog(const std::vector<MachineType>& types);
 std::string encode_hire(const std::string& request, const std::string& type,
                         const std::string& zone, bool spot, int count);
 std::vector<std::string> parse_hired(const std::string& body);
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -104,6 +104,17 @@
   EXPECT_EQ(protocol::parse_path("/elsewhere").what, What::none);
 }
 
+TEST(Catalog, ReadsTheProtocolsExampleAndWritesItAgain) {
+  const Json example = Json::parse(
+      R"({"builds":[{"sku":"g8","cores":96.0,"gpus":8.0,"ram_gb":768.0,"local_gb":200.0,
+      "fetch_gb_per_s":1.0,"rate":12.0,"low_price":4.5,"boot_s":45.0,"yards":["a","b"]}]})");
+  const auto types = protocol::parse_catalog(example);
+  ASSERT_EQ(types.size(), 1u);
+  EXPECT_EQ(types[0].size.cpus, 96000);
+  EXPECT_EQ(types[0].spot_price, 4.5);
+  EXPECT_EQ(protocol::encode_catalog(types), example);
+}
+
 TEST(State, TransactionCarriesConditionsAndChanges) {
   const Json body = Json::parse(protocol::encode_transaction(
       {{{"a/b", 0}}, {{"a/b", R"({"x":1})", 7}, {"c/d", std::nullopt, 0}}}));
--- a/tests/world/cloud.cpp
+++ b/tests/world/cloud.cpp
@@ -29,19 +29,7 @@
   if (path == "/machines/release") return release(request.body, reply);
   if (path == "/machines" && request.method == "POST") return hire(request.body, reply);
   if (path == "/machines") return list(request.target, reply);
-  Json builds = Json::array();
-  for (const auto& each : types_)
-    builds.push_back({{"sku", each.name},
-                      {"cores", static_cast<double>(each.size.cpus) / 1000},
-                      {"gpus", static_cast<double>(each.size.gpus) / 1000},
-                      {"ram_gb", static_cast<double>(each.size.memory) / 1000},
-                      {"local_gb", each.cache_gb},
-                      {"fetch_gb_per_s", each.fetch_gb_per_s},
-                      {"rate", each.price},
-                      {"low_price", each.spot_price},
-                      {"boot_s", each.boot_s},
-                      {"yards", each.zones}});
-  reply({200, Json{{"builds", builds}}.dump()});
+  reply({200, protocol::encode_catalog(types_).dump()});
 }
 
 void Cloud::hire(const std::string& body, const Reply& reply) {
