--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -5,8 +5,11 @@
 namespace poppystile::world {
 
 namespace {
-constexpr double sweep_slack_s = 0.5;  // seconds; the sweep runs every half second
-}
+constexpr double sweep_slack_s = 0.5;    // seconds; the sweep runs every half second
+constexpr double unanswered_s = 75;      // PROTOCOL: after the last trouble
+constexpr double largest_begin_s = 240;  // PROTOCOL: the largest jobs begin within this
+constexpr double largest_share = 0.1;    // of a class's jobs, by tasks
+}  // namespace
 
 void Rules::breach(const std::string& rule, const std::string& detail) {
   broken_.push_back(std::to_string(queue_.now()) + " " + rule + " " + detail);
@@ -19,6 +22,7 @@
 
 void Rules::on_machine(const std::string& id, std::uint32_t index, const Place& place) {
   ++starts_;
+  began_.emplace(id, queue_.now());
   const std::string name = id + "/" + std::to_string(index) + " on " + place.machine;
   const auto& spec = jobs_.at(id);
   auto& places = on_[{id, index}];
@@ -30,8 +34,9 @@
     breach("wrong_place", name);
   std::uint32_t here = 1;
   std::uint32_t elsewhere = 0;
-  for (const auto& [task, where] : on_) {
-    if (task.first != id || task.second == index) continue;
+  for (auto it = on_.lower_bound({id, 0}); it != on_.end() && it->first.first == id; ++it) {
+    const auto& [task, where] = *it;
+    if (task.second == index) continue;
     for (const auto& [machine, other] : where) ++(other.zone == place.zone ? here : elsewhere);
   }
   if (spec.one_zone && elsewhere > 0) breach("wrong_place", name + " splits the zone");
@@ -67,6 +72,7 @@
   if (status != 200 && status != 201) return;
   if (!known) return breach("invented", id);
   accepted_.insert(id);
+  answered_[id] = queue_.now();
   if (state == "done" && completed_[id].size() < jobs_.at(id).tasks) breach("not_done", id);
   if (done_.contains(id) && state != "done") breach("went_back", id + " done then " + state);
   if (cancelled_told_.contains(id) && state != "aborted")
@@ -84,6 +90,36 @@
   }
 }
 
+void Rules::judge_service() {
+  const double now = queue_.now();
+  for (const auto& id : accepted_) {
+    // Nobody can be silent about a job that nobody asks about.
+    const double since = std::max(answered_[id], troubles_until_);
+    if (asked_[id] > since && now - since > unanswered_s) breach("forgotten", id + " unanswered");
+  }
+  std::map<std::string, std::vector<std::string>> groups;
+  for (const auto& [id, spec] : jobs_) {
+    if (cancelled_told_.contains(id) || now - submitted_[id] < largest_begin_s) continue;
+    groups["class " + spec.job_class].push_back(id);
+    groups["team " + spec.team].push_back(id);
+  }
+  for (auto& [name, ids] : groups) {
+    const auto began =
+        std::count_if(ids.begin(), ids.end(), [&](const auto& id) { return began_.contains(id); });
+    if (2 * static_cast<std::size_t>(began) < ids.size()) breach("unserved", name);
+    if (!name.starts_with("class")) continue;
+    std::sort(ids.begin(), ids.end(),
+              [&](const auto& a, const auto& b) { return jobs_[a].tasks > jobs_[b].tasks; });
+    ids.resize(std::max<std::size_t>(
+        1, static_cast<std::size_t>(largest_share * static_cast<double>(ids.size()))));
+    const auto in_time = std::count_if(ids.begin(), ids.end(), [&](const auto& id) {
+      return began_.contains(id) && began_[id] - submitted_[id] <= largest_begin_s;
+    });
+    if (2 * static_cast<std::size_t>(in_time) < ids.size())
+      breach("unserved", "largest of " + name);
+  }
+}
+
 std::size_t Rules::on_now(const std::string& job_class) const {
   return static_cast<std::size_t>(std::count_if(on_.begin(), on_.end(), [&](const auto& each) {
     return jobs_.at(each.first.first).job_class == job_class;
--- a/tests/world/rules.hpp
+++ b/tests/world/rules.hpp
@@ -23,7 +23,10 @@
   Rules(EventQueue& queue, double cancel_s) : queue_(queue), cancel_s_(cancel_s) {}
 
   void team(const std::string& name, std::int64_t cpus_max) { limits_[name] = cpus_max; }
-  void submitted(const protocol::JobSpec& job) { jobs_[job.id] = job; }
+  void submitted(const protocol::JobSpec& job) {
+    jobs_[job.id] = job;
+    submitted_[job.id] = queue_.now();
+  }
   const protocol::JobSpec* job(const std::string& id) const;
 
   // What happens on machines.
@@ -34,8 +37,13 @@
   // What users are told.
   void told(const std::string& job, int status, const std::string& state, bool poll);
   void told_cancelled(const std::string& job);
+  void asked(const std::string& job) { asked_[job] = queue_.now(); }
+  // When the last trouble is over: from then on every accepted job must get answers.
+  void troubles_until(double time) { troubles_until_ = std::max(troubles_until_, time); }
   // Called now and then.
   void sweep();
+  // Called at the end: what was served too little.
+  void judge_service();
 
   const std::vector<std::string>& broken() const { return broken_; }
   std::uint64_t starts() const { return starts_; }
@@ -58,6 +66,11 @@
   std::set<std::string> accepted_;
   std::set<std::string> done_;
   std::map<std::string, double> cancelled_told_;
+  std::map<std::string, double> answered_;  // newest answer about a job
+  std::map<std::string, double> asked_;     // newest question
+  std::map<std::string, double> submitted_;
+  std::map<std::string, double> began_;  // a job's first start
+  double troubles_until_ = 0;
   std::vector<std::string> broken_;
   std::uint64_t starts_ = 0;
 };
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -10,7 +10,10 @@
 //                                 memory, images, gb, spot, one_zone, spread, zone, deadline
 //   at SECONDS ACTION KEY=VALUE...
 //   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
-//                                 machine_seconds; OP is >= or <=
+//                                 state_requests, state_changes, lapses, machine_seconds; OP is >=
+//                                 or <=
+// Once the last trouble is over, every accepted job must get answers again; and no class, team or
+// class's largest jobs may be left out.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -103,6 +106,7 @@
   int play() {
     world_->start();
     world_->queue().run_until(until_);
+    world_->rules().judge_service();
     int failures = 0;
     for (const auto& each : world_->rules().broken()) {
       if (++failures <= most_shown) std::cout << "broken rule: " << each << "\n";
@@ -199,6 +203,8 @@
     const std::string what = line.words.at(2);
     const double for_s = line.number_of("for", 10);
     const int count = static_cast<int>(line.number_of("count", 1));
+    world_->rules().troubles_until(world_->queue().now() +
+                                   std::max(for_s, line.number_of("back", 5)));
     auto& queue = world_->queue();
     if (what == "crash") {
       if (line.text("node", "any") == "all") {
@@ -227,6 +233,14 @@
       const int node = world_->pick_node(line.text("node", "leader"));
       world_->cut(node, cut);
       queue.after(for_s, [this, node] { world_->heal(node); });
+    } else if (what == "crash_winner") {
+      world_->crash_next_winner(line.number_of("back", 0.2));
+    } else if (what == "deaf") {
+      world_->deafen_machines(count, for_s);
+    } else if (what == "copies") {
+      world_->copy_reports(line.number_of("share", 0.2), line.number_of("least", 2),
+                           line.number_of("most", 40), for_s);
+      world_->rules().troubles_until(world_->queue().now() + for_s + line.number_of("most", 40));
     } else if (what == "hang") {
       world_->hang_machines(count, for_s);
     } else if (what == "die") {
@@ -261,6 +275,12 @@
       found = static_cast<double>(rules.cancelled_jobs());
     else if (name == "state_refused")
       found = static_cast<double>(world_->state_refused());
+    else if (name == "state_requests")
+      found = static_cast<double>(world_->state_requests());
+    else if (name == "state_changes")
+      found = static_cast<double>(world_->state_changes());
+    else if (name == "lapses")
+      found = static_cast<double>(world_->lapses());
     else if (name == "machine_seconds")
       found = world_->cloud().machine_seconds();
     else if (name.starts_with("on:"))
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t page_bytes = 512 * 1024;
 constexpr std::size_t most_log = 10'000;
 constexpr std::size_t most_body = 64 * 1024;
+constexpr std::size_t most_value = 8 * 1024;
 }  // namespace
 
 std::map<std::string, std::string> query_of(const std::string& target) {
@@ -59,6 +60,7 @@
     ++refused_;
     return reply({429, "{}"});
   }
+  ++requests_;
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path == "/multi") return transact(request.body, reply);
   if (path == "/follow") return watch(query_of(request.target), reply);
@@ -99,6 +101,10 @@
   if (body.size() > most_body || apply.size() > static_cast<std::size_t>(txn_ops_) ||
       when.size() > 4 * static_cast<std::size_t>(txn_ops_))
     return reply({400, R"({"error":"too large"})"});
+  for (const Json& each : apply)
+    if (each.contains("data") && each["data"].dump().size() > most_value)
+      return reply({400, R"({"error":"value too large"})"});
+  changes_ += apply.size();
   if (!spend(writes_left_, writes_at_, write_rps_, static_cast<double>(apply.size()))) {
     ++refused_;
     return reply({429, "{}"});
--- a/tests/world/state_service.hpp
+++ b/tests/world/state_service.hpp
@@ -24,6 +24,8 @@
   void set_down(bool down);
   bool has(const std::string& key) const { return items_.contains(key); }
   std::uint64_t refused() const { return refused_; }
+  std::uint64_t requests() const { return requests_; }
+  std::uint64_t changes() const { return changes_; }
 
  private:
   using Json = protocol::Json;
@@ -67,7 +69,7 @@
   bool down_ = false;
   std::uint64_t revision_ = 0;
   std::uint64_t leases_made_ = 0;
-  std::uint64_t refused_ = 0;
+  std::uint64_t refused_ = 0, requests_ = 0, changes_ = 0;
   std::map<std::string, Item> items_;
   std::map<std::uint64_t, Lease> leases_;
   std::deque<Change> log_;
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -39,7 +39,15 @@
   tasks_.clear();
 }
 
-void Worker::hang(double for_s) { hung_until_ = queue_.now() + for_s; }
+void Worker::hang(double for_s) {
+  hung_until_ = queue_.now() + for_s;
+  excuse(for_s);
+}
+
+// Its lease may still end for that reason a while after.
+void Worker::excuse(double for_s) {
+  excused_until_ = std::max(excused_until_, queue_.now() + for_s + 2 * times_.lease_s);
+}
 
 void Worker::notice(double in_s) {
   notice_at_ = queue_.now() + in_s;
@@ -54,6 +62,7 @@
 }
 
 void Worker::kill_all() {
+  if (queue_.now() > excused_until_) ++lapses_;
   for (auto& each : tasks_) rules_.off_machine(each.job, each.index, place_.machine);
   tasks_.clear();
   ++session_;
--- a/tests/world/worker.hpp
+++ b/tests/world/worker.hpp
@@ -34,6 +34,9 @@
   void notice(double in_s);
   const Place& place() const { return place_; }
   bool alive() const { return alive_; }
+  // Leases that ended though the machine neither hung nor was excused.
+  std::uint64_t lapses() const { return lapses_; }
+  void excuse(double for_s);
 
  private:
   using Json = protocol::Json;
@@ -75,6 +78,8 @@
   bool alive_ = true;
   bool sick_ = false;
   double hung_until_ = 0;
+  double excused_until_ = 0;
+  std::uint64_t lapses_ = 0;
   double notice_at_ = -1;
   std::uint64_t session_ = 1, sequence_ = 0, token_ = 0, lives_ = 0, reports_ = 0;
   std::uint64_t in_flight_ = 0;  // number of the report waited for; 0: none
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -116,6 +116,7 @@
     const auto it = workers_.find(id);
     if (it == workers_.end()) return;
     it->second->stop();
+    lapses_gone_ += it->second->lapses();
     gone_.push_back(std::move(it->second));
     workers_.erase(it);
   };
@@ -158,8 +159,22 @@
 
 // --- network ---
 
-void World::send_report(const std::string& node, const Worker&, std::string body,
-                        Worker::Reply reply) {
+void World::send_report(const std::string& node, const Worker& from, std::string body,
+                        Worker::Reply answer) {
+  // What a deaf machine is told is lost on the way; it may hear again before the next answer.
+  const auto reply = [this, machine = from.place().machine,
+                      answer = std::move(answer)](const HttpResponse& response) {
+    if (!deaf_.contains(machine)) answer(response);
+  };
+  if (queue_.chance(copy_share_)) {
+    Controller* to = controllers_[static_cast<std::size_t>(
+                                      queue_.uniform(0, static_cast<double>(controllers_.size())))]
+                         .get();
+    queue_.after(queue_.uniform(copy_least_s_, copy_most_s_), [to, body] {
+      if (to->node && !to->cut.workers)
+        to->node->handle({"POST", "/agent/beat", body}, [](auto) {});
+    });
+  }
   for (auto& each : controllers_) {
     if (each->name != node) continue;
     Controller* to = each.get();
@@ -222,6 +237,7 @@
 }
 
 void World::poll(const std::string& id) {
+  rules_.asked(id);
   user_call("GET", "/submissions/" + id, "", [this, id](HttpResponse response) {
     std::string stage;
     if (response.status == 200) stage = protocol::parse_object(response.body).at("stage");
@@ -321,9 +337,37 @@
   }
 }
 
+void World::deafen_machines(int count, double for_s) {
+  for (Worker* each : some_workers(count)) {
+    const std::string id = each->place().machine;
+    each->excuse(for_s);
+    deaf_.insert(id);
+    queue_.after(for_s, [this, id] { deaf_.erase(id); });
+  }
+}
+
+void World::copy_reports(double share, double least_s, double most_s, double for_s) {
+  copy_share_ = share;
+  copy_least_s_ = least_s;
+  copy_most_s_ = most_s;
+  queue_.after(for_s, [this] { copy_share_ = 0; });
+}
+
+std::uint64_t World::lapses() const {
+  std::uint64_t out = lapses_gone_;
+  for (const auto& [id, each] : workers_) out += each->lapses();
+  return out;
+}
+
 void World::sweep() {
   rules_.sweep();
-  queue_.after(0.5, [this] { sweep(); });
+  if (crash_winner_ >= 0)
+    for (auto& each : controllers_)
+      if (each->node && each->node->leads()) {
+        crash(each->number, std::exchange(crash_winner_, -1));
+        break;
+      }
+  queue_.after(crash_winner_ >= 0 ? 0.01 : 0.5, [this] { sweep(); });
 }
 
 }  // namespace poppystile::world
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -61,9 +61,18 @@
   void kill_machines(int count);
   void sicken_machines(int count, double for_s);
   void take_spot(double share, double notice_s);
+  // Reports arrive, but nothing reaches these machines.
+  void deafen_machines(int count, double for_s);
+  // Copies of some reports arrive once more, this much later, at any node.
+  void copy_reports(double share, double least_s, double most_s, double for_s);
+  // The next time that somebody wins an election, it crashes at once.
+  void crash_next_winner(double back_after_s) { crash_winner_ = back_after_s; }
 
   std::size_t accepted() const { return rules_.accepted_jobs(); }
   std::uint64_t state_refused() const { return state_->refused(); }
+  std::uint64_t state_requests() const { return state_->requests(); }
+  std::uint64_t state_changes() const { return state_->changes(); }
+  std::uint64_t lapses() const;  // leases that ended on machines that were neither hung nor deaf
 
  private:
   struct Controller;
@@ -88,6 +97,10 @@
   std::map<std::string, std::string> bodies_;
   std::set<std::string> cancelling_;
   std::set<std::string> finished_;
+  std::set<std::string> deaf_;  // machines
+  double copy_share_ = 0, copy_least_s_ = 0, copy_most_s_ = 0;
+  double crash_winner_ = -1;
+  std::uint64_t lapses_gone_ = 0;
 };
 
 }  // namespace poppystile::world
