--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -161,12 +161,15 @@
   close(appended_);
 }
 
+// A snapshot describes everything appended so far. Reading goes on after it with the first segment
+// that has not landed: entries that it covers are then replayed once more, in their order, which
+// changes nothing. So it waits for no segment, and a ring that is full can always be freed.
 void JournalDesk::consider_snapshot() {
   if (next_head_ || !on_snapshot_) return;
   const std::size_t most_bytes = std::max(constants::journal_least_bytes, snapshot_bytes_);
-  if (bytes_since_ < most_bytes && next_number_ - head_.from < constants::journal_ring / 2) return;
-  cut();
-  next_head_ = JournalHead{head_.generation + 1, 0, next_number_};
+  if (bytes_since_ < most_bytes && segments_since_snapshot() < constants::journal_ring / 2) return;
+  next_head_ = JournalHead{head_.generation + 1, 0,
+                           segments_.empty() ? next_number_ : segments_.front().number};
   bytes_since_ = 0;
   snapshot_bytes_ = 0;
   std::vector<std::string> texts;
@@ -211,10 +214,8 @@
   for (std::size_t i = 0;
        i < constants::snapshot_parts_a_write && !parts_.empty() && fits(parts_.front()); ++i)
     take(parts_);
-  // The head counts only once every part, and every segment before it, has landed.
-  const bool all_there = next_head_ && parts_.empty() && batch_.empty() &&
-                         (segments_.empty() || segments_.front().number >= next_head_->from);
-  if (!all_there) return;
+  // The head counts only with every part: landed, or in the same transaction.
+  if (!next_head_ || !parts_.empty() || batch_.size() >= most) return;
   Record record;
   record.key = keys::journal_head;
   record.value = bookkeeping::encode(*next_head_).dump();
--- a/src/coordination/journal_desk.hpp
+++ b/src/coordination/journal_desk.hpp
@@ -36,6 +36,8 @@
   std::uint64_t append(bookkeeping::Json entry);
   bool durable(std::uint64_t mark) const { return mark <= landed_; }
   void pump();  // called often while leading
+  // Segments a successor would have to read after the snapshot.
+  std::uint64_t segments_since_snapshot() const { return next_number_ - head_.from; }
   void on_landed(std::function<void()> handler) { on_landed_ = std::move(handler); }
   // Asked for the entries that describe everything appended so far.
   void on_snapshot(std::function<std::vector<bookkeeping::Json>()> handler) {
@@ -46,7 +48,7 @@
   struct Record {
     std::string key;
     std::string value;
-    std::uint64_t number = 0;  // as the record itself tells it
+    std::uint64_t number = 0;  // of a segment, or the generation
     std::uint64_t mark = 0;    // of a segment: everything up to here is in it
   };
 
--- /dev/null
+++ b/tests/unit/journal_desk_test.cpp
@@ -0,0 +1,179 @@
+// The journal in the stand-in state service: leaders come and go at any moment, and every one of
+// them finds exactly what was durable, and can go on writing.
+#include "coordination/journal_desk.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <random>
+
+#include "constants.hpp"
+#include "world/event_queue.hpp"
+#include "world/state_service.hpp"
+
+namespace poppystile::coordination {
+namespace {
+
+using bookkeeping::Ledger;
+using transport::Endpoint;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+// One controller's view of time and of the state service, as long as it lives.
+class Life : public transport::Runtime, public transport::HttpCaller {
+ public:
+  Life(world::EventQueue& queue, world::StateService& service, const std::string& name,
+       double lose_answers)
+      : queue_(queue), service_(service), lose_answers_(lose_answers) {
+    settings.name = name;
+    settings.state_rps = 250;
+    settings.state_write_rps = 40;
+    settings.txn_ops = 32;
+    store.emplace(*this, *this, settings);
+    directory.emplace(*this, *store);
+    leadership.emplace(*this, *store, *directory, name, queue.random());
+    journal.emplace(*this, *store, *leadership, settings);
+    leadership->on_won([this] {
+      journal->load([this](std::optional<Ledger> found) {
+        understood = found.has_value();
+        if (found) ledger = *found;
+        loaded = true;
+      });
+    });
+    leadership->on_lost([this] { lost = true; });
+    journal->on_snapshot([this] {
+      std::vector<bookkeeping::Json> out;
+      for (const auto& [id, machine] : ledger.machines)
+        out.push_back(bookkeeping::known_entry(id, "g", "a", false, machine.session, 0));
+      return out;
+    });
+    directory->start();
+    leadership->start();
+  }
+  double now_s() const override { return 1000 + queue_.now(); }
+  double wall_s() const override { return 1.7e9 + queue_.now(); }
+  void after(double delay_s, std::function<void()> action) override {
+    queue_.after(delay_s, [mine = std::weak_ptr<int>(alive_), action = std::move(action)] {
+      if (!mine.expired()) action();
+    });
+  }
+  void call(const Endpoint&, HttpRequest request, double timeout_s,
+            std::function<void(HttpResponse)> done) override {
+    auto settled = std::make_shared<bool>(false);
+    const auto settle = [mine = std::weak_ptr<int>(alive_), settled,
+                         done = std::move(done)](const HttpResponse& response) {
+      if (!mine.expired() && !std::exchange(*settled, true)) done(response);
+    };
+    queue_.after(timeout_s, [settle] { settle({}); });
+    // What was sent arrives even when its sender has died since.
+    queue_.after(queue_.uniform(0.001, 0.02),
+                 [&queue = queue_, &service = service_, lose = lose_answers_, request, settle] {
+                   service.handle(request, [&queue, lose, settle](const HttpResponse& response) {
+                     if (!queue.chance(lose)) settle(response);
+                   });
+                 });
+  }
+  // Appends as a leader does, and keeps the ledger that its successor should find.
+  std::uint64_t append(const bookkeeping::Json& entry) {
+    ledger.apply(bookkeeping::Json::parse(entry.dump()));
+    return journal->append(entry);
+  }
+
+  protocol::Settings settings;
+  std::optional<StateStore> store;
+  std::optional<Directory> directory;
+  std::optional<Leadership> leadership;
+  std::optional<JournalDesk> journal;
+  Ledger ledger;
+  bool loaded = false, understood = false, lost = false;
+
+ private:
+  world::EventQueue& queue_;
+  world::StateService& service_;
+  double lose_answers_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+class JournalDeskTest : public testing::Test {
+ protected:
+  // The former life ends in whatever it is doing.
+  Life& begin(double lose_answers = 0) {
+    current.reset();
+    current = std::make_unique<Life>(queue, service, "stile-0", lose_answers);
+    Life& life = *current;
+    for (int i = 0; i < 3000 && !life.loaded; ++i) queue.run_until(queue.now() + 0.01);
+    return life;
+  }
+  // Runs for a while, or until the ring is full; `more` is called every 20 ms.
+  void run(Life& life, double for_s, const std::function<void()>& more) {
+    const double until = queue.now() + for_s;
+    while (queue.now() < until &&
+           life.journal->segments_since_snapshot() < constants::journal_ring) {
+      more();
+      life.journal->pump();
+      queue.run_until(queue.now() + 0.02);
+    }
+  }
+  world::EventQueue queue{7};
+  world::StateService service{queue, 250, 40, 32};
+  std::unique_ptr<Life> current;
+};
+
+// A ring that was full at a takeover, with a segment cut before the snapshot, once blocked every
+// later leader for good: nothing started any more.
+TEST_F(JournalDeskTest, EverySuccessorReadsWhatWasDurableAndGoesOn) {
+  std::mt19937_64 random(3);
+  std::uint64_t made = 0;
+  std::map<std::string, std::uint64_t> durable;  // machine and session
+  for (int round = 0; round < 25; ++round) {
+    Life& life = begin(round % 3 == 2 ? 0.05 : 0);
+    ASSERT_TRUE(life.loaded && life.understood) << "round " << round;
+    for (const auto& [id, session] : durable) {
+      ASSERT_TRUE(life.ledger.machines.contains(id)) << "round " << round;
+      EXPECT_GE(life.ledger.machines.at(id).session, session);
+    }
+    std::vector<std::tuple<std::uint64_t, std::string, std::uint64_t>> marks;
+    const double for_s = 1 + static_cast<double>(random() % 60);
+    run(life, for_s, [&] {
+      const std::string id = "n-" + std::to_string(random() % 40);
+      const std::uint64_t session = ++made;
+      if (!life.ledger.machines.contains(id))
+        life.append(bookkeeping::known_entry(id, "g", "a", false, 0, 0));
+      marks.emplace_back(life.append(bookkeeping::session_entry(id, session)), id, session);
+    });
+    EXPECT_FALSE(life.lost) << "round " << round;
+    std::size_t landed = 0;
+    for (const auto& [mark, id, session] : marks) {
+      if (!life.journal->durable(mark)) continue;
+      ++landed;
+      durable[id] = std::max(durable[id], session);
+    }
+    EXPECT_GT(landed, 0u) << "round " << round;
+  }
+}
+
+TEST_F(JournalDeskTest, AnUnknownFormIsNotReadAsEmpty) {
+  service.handle(
+      {"POST", "/multi", R"({"when":[],"apply":[{"write":"journal/log/1","data":{"v":9}}]})"},
+      [](auto) {});
+  Life& life = begin();
+  ASSERT_TRUE(life.loaded);
+  EXPECT_FALSE(life.understood);
+  bool wiped = false;
+  life.journal->wipe([&] { wiped = true; });
+  queue.run_until(queue.now() + 5);
+  EXPECT_TRUE(wiped);
+  EXPECT_FALSE(service.has("journal/log/1"));
+}
+
+TEST_F(JournalDeskTest, RecordsOfTheFirstVersionAreRefusedAloud) {
+  service.handle(
+      {"POST", "/multi", R"({"when":[],"apply":[{"write":"machine/n-1","data":{"v":1}}]})"},
+      [](auto) {});
+  Life& life = begin();
+  ASSERT_TRUE(life.loaded);
+  EXPECT_FALSE(life.understood);
+}
+
+}  // namespace
+}  // namespace poppystile::coordination
