Fleet gives back what exceeds its demand of late; an unready leader stops answering sooner

A zone cut isolated a leader just elected; without its picture it kept leases alive for jobs cancelled before its election. It now answers for a quarter of the time only. Scenario winner_cut_off fails without.

Fleet: services share machines, machines drain when supply exceeds the highest demand of the last 40 s, replicas move off nearly empty ones, refusals back off.

--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -79,6 +79,7 @@
   bool heard = false;      // reported to this leader
   bool confirmed = false;  // its worker has seen this leader's token
   bool releasing = false;
+  bool draining = false;  // takes nothing new, and is given back once it is empty
   bool recalled = false;
   bool quarantined = false;
   bool late = false;     // reports are overdue
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -63,6 +63,10 @@
 // seconds; a sibling's word is believed for this long.
 inline constexpr double peer_fresh_s = 3.0;
 
+// share of the time that a cut leader may go on answering for which one answers that has not read
+// the journal yet: cancellations may have waited for it since before its election.
+inline constexpr double unready_answer_share = 0.25;
+
 // --- users ---
 // seconds; polls are gathered this long and checked in one comparison.
 inline constexpr double poll_gather_s = 0.015;
@@ -141,8 +145,11 @@
 inline constexpr std::int64_t batch_fills = 2;
 // looks for work to preempt in one plan; each goes through all machines.
 inline constexpr int most_looks_for_room = 20;
-// seconds of delay that a service takes for an empty machine instead of a full one.
-inline constexpr double load_worth_s = 1.0;
+// reports' intervals of delay that a service takes for a machine full of services instead of one
+// that has none: enough to keep replicas together, too little to wait for a fetch.
+inline constexpr double pack_worth_reports = 1.0;
+// the same for a zone that has none of the class's replicas instead of one that has all.
+inline constexpr double zone_worth_reports = 2.0;
 // rounds after which a bound that places nothing more is given up.
 inline constexpr int max_bound_rounds = 400;
 
@@ -153,8 +160,16 @@
 inline constexpr double boot_patience_floor_s = 30.0;
 // seconds a machine may stay silent beyond its lease before it is given back.
 inline constexpr double silence_grace_s = 25.0;
-// seconds a machine stays idle before it is given back; deleting costs at least 60 s of rent.
+// seconds that the fleet keeps room for its highest demand; deleting costs at least 60 s of rent.
 inline constexpr double idle_keep_s = 40.0;
+// times that demand: room for what comes next.
+inline constexpr double fleet_headroom = 1.1;
+// share of the fleet that may begin to drain in one pass.
+inline constexpr double drain_share = 0.05;
+// share of a machine that services may hold when it is emptied by moving them elsewhere.
+inline constexpr double move_share = 0.5;
+// share of the replicas that may be on the move at a time.
+inline constexpr double moving_share = 0.02;
 // failures in a row, of different jobs, that put a machine in quarantine.
 inline constexpr int quarantine_failures = 3;
 // seconds; first and longest pause before a failed task is tried again.
@@ -162,8 +177,10 @@
 inline constexpr double retry_most_s = 60.0;
 // seconds between machine lists.
 inline constexpr double list_every_s = 5.0;
-// seconds; pause before a type and zone that had no capacity is asked again.
+// seconds; first and longest pause before a type and zone that had no capacity is asked again. It
+// doubles, so that refusals do not use up the cloud's calls.
 inline constexpr double no_capacity_pause_s = 15.0;
+inline constexpr double no_capacity_most_s = 60.0;
 // seconds; a cloud call is given up after this.
 inline constexpr double cloud_timeout_s = 8.0;
 // seconds between passes over the fleet's size.
@@ -173,6 +190,9 @@
 // seconds; a machine for a service is worth twice its price when its replica is up this much
 // sooner. About a boot: below it price decides, far above it speed does.
 inline constexpr double service_delay_worth_s = 30.0;
+// how much dearer a kind of machine counts when the whole fleet is of it: no type or zone should
+// hold everything.
+inline constexpr double kind_spread = 0.3;
 // share of the running services' cores kept free or booting for the next ones.
 inline constexpr double service_reserve = 0.12;
 
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -43,6 +43,7 @@
   hires_.clear();
   to_release_.clear();
   released_.clear();
+  demands_.clear();
   listing_ = releasing_ = catalog_busy_ = false;
   if (types_.empty()) types_ = directory_.types();
   for (const auto& [name, record] : hires) hires_[name] = Hire{record};
@@ -156,12 +157,17 @@
          const auto& record = asked.record;
          spdlog::info("rental refused name={} type={} zone={} spot={} status={}", name, record.type,
                       record.zone, record.spot, response.status);
-         refused_until_[{record.type, record.zone, record.spot}] =
-             runtime_.now_s() + constants::no_capacity_pause_s;
+         refuse({record.type, record.zone, record.spot});
          settle(name);
        });
 }
 
+void CloudDesk::refuse(const planning::Offer& offer) {
+  double& pause = refusals_[offer].pause_s;
+  pause = std::clamp(2 * pause, constants::no_capacity_pause_s, constants::no_capacity_most_s);
+  refusals_[offer].until_s = runtime_.now_s() + pause;
+}
+
 void CloudDesk::settle(const std::string& name) {
   hires_.erase(name);
   journal_.append(bookkeeping::hire_settled_entry(name));
@@ -177,9 +183,9 @@
   }
   spdlog::info("rented name={} type={} zone={} spot={} asked={} got={}", name, record.type,
                record.zone, record.spot, record.count, ids.size());
-  if (static_cast<int>(ids.size()) < record.count)
-    refused_until_[{record.type, record.zone, record.spot}] =
-        runtime_.now_s() + constants::no_capacity_pause_s;
+  const planning::Offer offer{record.type, record.zone, record.spot};
+  if (!ids.empty()) refusals_.erase(offer);
+  if (static_cast<int>(ids.size()) < record.count) refuse(offer);
   for (const auto& id : ids) {
     if (model_->machines.contains(id) || released_.contains(id)) continue;
     Machine machine;
@@ -200,10 +206,12 @@
   context.now_wall_s = runtime_.wall_s();
   context.types = &types_;
   context.teams = &settings_.teams;
-  context.idle_keep_s = properties_.idle_keep_s;
+  while (!demands_.empty() && demands_.front().first < context.now_s - properties_.idle_keep_s)
+    demands_.pop_front();
+  for (const auto& [at, cpus] : demands_) context.peak_cpus = std::max(context.peak_cpus, cpus);
   context.service_reserve = properties_.service_reserve;
-  for (const auto& [offer, until] : refused_until_)
-    if (until > context.now_s) context.refused.insert(offer);
+  for (const auto& [offer, refusal] : refusals_)
+    if (refusal.until_s > context.now_s) context.refused.insert(offer);
   for (const auto& [name, hire] : hires_)
     context.underway.push_back(
         {{hire.record.type, hire.record.zone, hire.record.spot}, hire.record.count});
@@ -218,10 +226,19 @@
     hire.mark = journal_.append(bookkeeping::hire_entry(name, hire.record));
     hires_[name] = hire;
   }
+  demands_.emplace_back(context.now_s, plan.demand_cpus);
   for (const auto& id : plan.release) {
     model_->machines.at(id).releasing = true;
     to_release_.insert(id);
   }
+  if (plan.undrain)
+    for (auto& [id, machine] : model_->machines) machine.draining = false;
+  // Until demand has been seen for a while nobody knows what is too much.
+  if (context.now_s - began_s_ < properties_.idle_keep_s) return;
+  for (const auto& id : plan.drain) {
+    spdlog::debug("machine drains id={}", id);
+    model_->machines.at(id).draining = true;
+  }
 }
 
 // --- releases ---
--- a/src/coordination/cloud_desk.hpp
+++ b/src/coordination/cloud_desk.hpp
@@ -1,6 +1,7 @@
 // Dealings with the cloud: the catalog, rentals by recorded intent, releases, lists.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -54,6 +55,7 @@
   void fetch_catalog();
   void record_catalog(const std::vector<protocol::MachineType>& types);
   void ask_for_machines(const std::string& name, Hire& hire);
+  void refuse(const planning::Offer& offer);
   void settle(const std::string& name);
   void hired(const std::string& name, const std::string& body);
   void give_back_lost();
@@ -76,7 +78,12 @@
   std::map<std::string, Hire> hires_;
   std::set<std::string> to_release_;
   std::set<std::string> released_;
-  std::map<planning::Offer, double> refused_until_;
+  struct Refusal {
+    double until_s = 0;
+    double pause_s = 0;
+  };
+  std::map<planning::Offer, Refusal> refusals_;
+  std::deque<std::pair<double, std::int64_t>> demands_;  // seen lately: when, and how many cores
   RateBudget budget_;
   std::uint64_t names_ = 0;
   std::uint64_t term_ = 0;
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -551,6 +551,7 @@
     leases_s_ = now;
     watch_leases();
     cloud_.pass();
+    move_replicas();
   }
   if (plan_due_ && now >= plan_at_s_) {
     plan();
@@ -579,6 +580,31 @@
     if (job.waiting() > 0 && !job.record.cancelled) plan_due_ = true;
 }
 
+// Replicas leave a draining machine a few at a time; each is down from its stop until its start
+// elsewhere, so only as many move as their class hardly notices.
+void Dispatcher::move_replicas() {
+  std::size_t replicas = 0;
+  std::size_t moving = 0;
+  std::vector<Placement*> to_move;
+  for (auto& [id, machine] : model_.machines)
+    for (auto& each : machine.placements) {
+      const Job* job = model_.job(each.job);
+      if (job == nullptr || job->spec().kind != protocol::JobKind::service) continue;
+      ++replicas;
+      if (each.phase != PlacementPhase::running || each.stopping) {
+        ++moving;
+      } else if (machine.draining) {
+        to_move.push_back(&each);
+      }
+    }
+  const auto most = static_cast<std::size_t>(
+      std::max(1.0, static_cast<double>(replicas) * constants::moving_share));
+  for (Placement* each : to_move) {
+    if (moving++ >= most) return;
+    each->stopping = true;
+  }
+}
+
 void Dispatcher::plan() {
   const double began = runtime_.now_s();
   plan_due_ = false;
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -83,6 +83,7 @@
   // --- passes ---
   void tick();
   void watch_leases();
+  void move_replicas();
   void plan();
   void close_jobs();
   static protocol::JobState final_state(const bookkeeping::Job& job);
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -72,7 +72,7 @@
                       lease_ = lease;
                       token_ = token;
                       version_ = result.revision;
-                      confirmed_s_ = renewed_s_ = sent_s;
+                      won_s_ = confirmed_s_ = renewed_s_ = sent_s;
                       spdlog::info("leading token={}", token_);
                       directory_.learn(keys::token, bookkeeping::encode_token(token), version_);
                       directory_.learn(keys::leader,
--- a/src/coordination/leadership.hpp
+++ b/src/coordination/leadership.hpp
@@ -22,6 +22,8 @@
   protocol::Condition fence() const;
   // Steady time at which the newest confirmed renewal was sent.
   double confirmed_s() const { return confirmed_s_; }
+  // Steady time at which the election was asked for that this node won.
+  double won_s() const { return won_s_; }
   void step_down(const std::string& why);
   void on_won(std::function<void()> handler) { on_won_ = std::move(handler); }
   void on_lost(std::function<void()> handler) { on_lost_ = std::move(handler); }
@@ -45,6 +47,7 @@
   std::uint64_t token_ = 0;
   std::uint64_t version_ = 0;  // of the leader's key
   double confirmed_s_ = 0;
+  double won_s_ = 0;
   double renewed_s_ = 0;
   std::function<void()> on_won_;
   std::function<void()> on_lost_;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -105,6 +105,9 @@
   const double confirmed = leadership_.confirmed_s();
   const double budget = settings_.cancel_s - settings_.lease_s * (1 + constants::clock_drift) -
                         3 * constants::lease_margin_s;
+  // Without its picture a leader keeps leases alive but stops nothing, not even what was cancelled
+  // before its election and not stopped by its predecessor any more.
+  if (!dispatcher_.ready()) return leadership_.won_s() + budget * constants::unready_answer_share;
   const double confirmed_wall = runtime_.wall_s() - (runtime_.now_s() - confirmed);
   double known_until = runtime_.now_s();
   for (const auto& sibling : settings_.siblings) {
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <optional>
+#include <tuple>
 
 #include "constants.hpp"
 #include "planning/planner.hpp"
@@ -24,14 +25,20 @@
 struct Bin {
   Machine like;  // only type, zone and spot matter
   Resources room;
+  const Machine* machine = nullptr;  // nothing: asked for, or about to be
 };
 
 class Sizing {
  public:
   Sizing(const Model& model, const FleetContext& context) : model_(model), context_(context) {
     for (const auto& [id, machine] : model.machines) {
+      demand_ += machine.used.cpus;
       if (!counts(machine)) continue;
-      bins_.push_back({bare(machine.type, machine.zone, machine.spot), machine.room()});
+      if (machine.draining) {
+        draining_ = true;
+        continue;
+      }
+      bins_.push_back({bare(machine.type, machine.zone, machine.spot), machine.room(), &machine});
       ++present_[{machine.type, machine.zone, machine.spot}];
     }
     for (const auto& each : context.underway)
@@ -48,12 +55,20 @@
       return a->spec().id < b->spec().id;  // the same picture always gives the same plan
     });
     note_team_use();
-    for (const Job* job : jobs) pack(job->spec(), wanted(*job));
+    for (const Job* job : jobs) pack(job->spec(), wanted(*job), true);
     pack_reserve(jobs);
     FleetPlan plan;
+    plan.demand_cpus = demand_;
+    if (!hires_.empty() && draining_) {
+      plan.undrain = true;
+      return plan;
+    }
     for (const auto& [offer, count] : hires_)
       plan.hire.push_back({offer, std::min(count, constants::max_hire)});
-    if (plan.hire.empty()) plan.release = idle_machines();
+    for (const auto& [id, machine] : model_.machines)
+      if (machine.draining && !machine.releasing && machine.placements.empty())
+        plan.release.push_back(id);
+    if (plan.hire.empty()) choose_drains(plan);
     return plan;
   }
 
@@ -106,17 +121,18 @@
     return static_cast<std::uint32_t>(std::ceil(job.waiting() / waves));
   }
 
-  void pack(const JobSpec& spec, std::uint32_t count) {
+  void pack(const JobSpec& spec, std::uint32_t count, bool urgent) {
     auto& left = team_left_[spec.team];
     if (spec.each.cpus > 0)
       count = static_cast<std::uint32_t>(std::clamp<std::int64_t>(left / spec.each.cpus, 0, count));
     left -= spec.each.cpus * count;
+    demand_ += spec.each.cpus * count;
     for (auto& bin : bins_) {
       if (count == 0) return;
       if (may_run_on(spec, bin.like)) count -= fill(bin, spec, count);
     }
     while (count > 0) {
-      const auto offer = cheapest(spec);
+      const auto offer = cheapest(spec, urgent);
       if (!offer) return;
       add_bin(*offer);
       const auto placed = fill(bins_.back(), spec, count);
@@ -133,7 +149,7 @@
     return fits;
   }
 
-  std::optional<Offer> cheapest(const JobSpec& spec) const {
+  std::optional<Offer> cheapest(const JobSpec& spec, bool urgent) const {
     std::optional<Offer> best;
     double least = 0;
     for (const auto& type : *context_.types) {
@@ -146,7 +162,8 @@
             continue;
           // Fewer of a kind already there is preferred a little: no zone should hold everything.
           const double price = (spot ? type.spot_price : type.price) / static_cast<double>(abreast);
-          const double score = price * (1 + 0.02 * present(offer)) * delay_factor(spec, type);
+          const double score = price * (1 + constants::kind_spread * present_share(offer)) *
+                               (urgent ? delay_factor(spec, type) : 1);
           if (!best || score < least) {
             best = offer;
             least = score;
@@ -164,9 +181,11 @@
     return 1 + delay / constants::service_delay_worth_s;
   }
 
-  int present(const Offer& offer) const {
+  // Of all machines, those of this kind.
+  double present_share(const Offer& offer) const {
     const auto found = present_.find(offer);
-    return found == present_.end() ? 0 : found->second;
+    if (found == present_.end()) return 0;
+    return static_cast<double>(found->second) / static_cast<double>(bins_.size() + 1);
   }
 
   // Room for the services that come next, in the shape of the largest class now running.
@@ -181,23 +200,94 @@
     for (const auto& [name, entry] : classes) {
       JobSpec shape = *entry.first;
       shape.zone.reset();
-      pack(shape, static_cast<std::uint32_t>(std::ceil(entry.second * context_.service_reserve)));
+      pack(shape, static_cast<std::uint32_t>(std::ceil(entry.second * context_.service_reserve)),
+           false);
     }
   }
 
-  // Machines idle for long whose whole room the packing left unused.
-  std::vector<std::string> idle_machines() const {
-    std::vector<std::string> out;
-    std::size_t bin = 0;
-    for (const auto& [id, machine] : model_.machines) {
-      if (!counts(machine)) continue;
-      const bool untouched = bins_[bin].room.cpus == machine.size.cpus;
-      ++bin;
-      if (machine.heard && machine.placements.empty() && untouched &&
-          context_.now_s - machine.idle_since_s > context_.idle_keep_s)
-        out.push_back(id);
+  std::int64_t services_on(const Machine& machine) const {
+    std::int64_t cpus = 0;
+    for (const auto& each : machine.placements) {
+      const auto job = model_.jobs.find(each.job);
+      if (each.phase != bookkeeping::PlacementPhase::exited && job != model_.jobs.end() &&
+          job->second.spec().kind == JobKind::service)
+        cpus += each.each.cpus;
+    }
+    return cpus;
+  }
+
+  double price_per_cpu(const Machine& machine) const {
+    const MachineType* type = type_of(machine.type);
+    if (type == nullptr) return 0;
+    return (machine.spot ? type->spot_price : type->price) /
+           static_cast<double>(std::max<std::int64_t>(1, type->size.cpus));
+  }
+
+  // What exceeds the highest demand of late: machines without services first, the dearest of
+  // them; then those whose few services fit elsewhere. They run empty and are given back.
+  void choose_drains(FleetPlan& plan) {
+    struct Candidate {
+      Bin* bin;
+      std::int64_t services;
+      double price;
+    };
+    std::vector<Candidate> candidates;
+    std::int64_t supply = 0;
+    for (auto& bin : bins_) {
+      if (bin.machine == nullptr) continue;
+      supply += bin.machine->size.cpus;
+      // Room that the packing has used is spoken for.
+      if (!bin.machine->heard || bin.room.cpus != bin.machine->room().cpus) continue;
+      candidates.push_back({&bin, services_on(*bin.machine), price_per_cpu(*bin.machine)});
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+      return std::make_tuple(a.services, -a.price, a.bin->machine->used.cpus) <
+             std::make_tuple(b.services, -b.price, b.bin->machine->used.cpus);
+    });
+    auto excess = supply - static_cast<std::int64_t>(static_cast<double>(context_.peak_cpus) *
+                                                     constants::fleet_headroom);
+    auto most = static_cast<int>(
+        std::ceil(static_cast<double>(candidates.size()) * constants::drain_share));
+    for (const auto& each : candidates) {
+      const Machine& machine = *each.bin->machine;
+      if (most == 0) return;
+      if (machine.size.cpus > excess) continue;
+      if (each.services > 0 && !moves_elsewhere(*each.bin)) continue;
+      // A machine that a move was counted on is not emptied itself.
+      if (each.bin->room.cpus != machine.room().cpus) continue;
+      each.bin->room = {};
+      excess -= machine.size.cpus;
+      --most;
+      plan.drain.push_back(machine.id);
+    }
+  }
+
+  // Whether the services of a machine fit into the room of others; if so that room is taken.
+  bool moves_elsewhere(Bin& from) {
+    const Machine& machine = *from.machine;
+    if (static_cast<double>(services_on(machine)) >
+        constants::move_share * static_cast<double>(machine.size.cpus))
+      return false;
+    std::vector<std::pair<Bin*, Resources>> taken;
+    for (const auto& each : machine.placements) {
+      const auto job = model_.jobs.find(each.job);
+      if (each.phase == bookkeeping::PlacementPhase::exited || job == model_.jobs.end() ||
+          job->second.spec().kind != JobKind::service)
+        continue;
+      const JobSpec& spec = job->second.spec();
+      const auto to = std::find_if(bins_.begin(), bins_.end(), [&](const Bin& bin) {
+        return &bin != &from && bin.machine != nullptr && bin.machine->heard &&
+               services_on(*bin.machine) > 0 && may_run_on(spec, bin.like) &&
+               spec.each.fits(bin.room);
+      });
+      if (to == bins_.end()) {
+        for (auto& [bin, room] : taken) bin->room += room;
+        return false;
+      }
+      to->room -= spec.each;
+      taken.emplace_back(&*to, spec.each);
     }
-    return out;
+    return true;
   }
 
   const Model& model_;
@@ -206,6 +296,8 @@
   std::map<Offer, int> present_;  // there or booting
   std::map<Offer, int> hires_;
   std::map<std::string, std::int64_t> team_left_;
+  std::int64_t demand_ = 0;
+  bool draining_ = false;
 };
 
 }  // namespace
--- a/src/planning/fleet.hpp
+++ b/src/planning/fleet.hpp
@@ -28,6 +28,9 @@
 struct FleetPlan {
   std::vector<WantedMachines> hire;
   std::vector<std::string> release;
+  std::vector<std::string> drain;  // take nothing more
+  bool undrain = false;            // draining machines are wanted after all
+  std::int64_t demand_cpus = 0;    // thousandths: in use, wanted now, and the reserve
 };
 
 struct FleetContext {
@@ -37,7 +40,7 @@
   const std::vector<protocol::TeamSettings>* teams = nullptr;
   std::set<Offer> refused;               // asked lately and not to be had
   std::vector<WantedMachines> underway;  // asked for, not answered yet
-  double idle_keep_s = 40;
+  std::int64_t peak_cpus = 0;            // the highest demand of late
   double service_reserve = 0.1;
 };
 
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -27,7 +27,7 @@
 
 bool takes_tasks(const Machine& machine, double now_s) {
   return machine.heard && machine.confirmed && !machine.suspect && !machine.late &&
-         !machine.releasing && !machine.recalled && !machine.quarantined &&
+         !machine.releasing && !machine.draining && !machine.recalled && !machine.quarantined &&
          machine.avoid_until_s <= now_s;
 }
 
@@ -137,7 +137,7 @@
            !guaranteed_.contains(&owner);
   }
 
-  Slot slot_of(const Machine& machine) const {
+  Slot slot_of(const Machine& machine) {
     Slot slot;
     slot.machine = &machine;
     slot.room = machine.room();
@@ -149,6 +149,8 @@
       const auto job = model_.jobs.find(placement.job);
       if (job == model_.jobs.end() || job->second.spec().kind == JobKind::service)
         slot.for_arrays -= placement.each;
+      if (job != model_.jobs.end() && job->second.spec().kind == JobKind::service)
+        ++class_zones_[job->second.spec().job_class][machine.zone];
       const bool before_run = placement.phase == PlacementPhase::assigned ||
                               placement.phase == PlacementPhase::fetching;
       if (before_run && job != model_.jobs.end() && !slot.holds(job->second.spec().image))
@@ -212,7 +214,10 @@
 
   void commit(Slot& slot, const JobSpec& job) {
     slot.room -= job.each;
-    if (job.kind == JobKind::service) slot.for_arrays -= job.each;
+    if (job.kind == JobKind::service) {
+      slot.for_arrays -= job.each;
+      ++class_zones_[job.job_class][slot.machine->zone];
+    }
     ++slot.entries;
     if (!slot.holds(job.image)) slot.coming.push_back(job.image);
     used_[job.team] += job.each;
@@ -242,10 +247,14 @@
     }
   }
 
-  // Seconds until a replica would be up there, and a little for load, which spreads them.
-  double service_delay_s(const JobSpec& job, const Slot& slot) const {
+  // Seconds until a replica would be up there; and a little less on machines that have services
+  // already, which keeps others free to be given back, and in zones that have fewer of the class.
+  double service_delay_s(const JobSpec& job, const Slot& slot) {
     const Machine& machine = *slot.machine;
-    double delay = constants::load_worth_s * share_used(slot);
+    const double arrays_share = static_cast<double>(slot.for_arrays.cpus) /
+                                static_cast<double>(std::max<std::int64_t>(1, machine.size.cpus));
+    double delay = constants::pack_worth_reports * context_.report_s * arrays_share;
+    delay += constants::zone_worth_reports * context_.report_s * zone_share(job, machine.zone);
     // The start goes with the answer to its next report.
     delay +=
         std::clamp(machine.heard_s + context_.report_s - context_.now_s, 0.0, context_.report_s);
@@ -256,9 +265,13 @@
     return delay;
   }
 
-  static double share_used(const Slot& slot) {
-    return 1.0 - static_cast<double>(slot.room.cpus) /
-                     static_cast<double>(std::max<std::int64_t>(1, slot.machine->size.cpus));
+  // Of the class's replicas, those in this zone.
+  double zone_share(const JobSpec& job, const std::string& zone) {
+    const auto& zones = class_zones_[job.job_class];
+    std::uint32_t all = 1;
+    for (const auto& [name, count] : zones) all += count;
+    const auto here = zones.find(zone);
+    return here == zones.end() ? 0.0 : static_cast<double>(here->second) / all;
   }
 
   // Stops lower work where that frees a place, the least of it. Room already on its way counts.
@@ -409,6 +422,7 @@
   std::map<std::string, Resources> limits_;
   std::map<std::string, Resources> used_;
   std::map<std::string, std::map<std::string, std::uint32_t>> in_zone_;
+  std::map<std::string, std::map<std::string, std::uint32_t>> class_zones_;  // of services
   std::set<const Placement*> stopped_;
   std::set<const Job*> guaranteed_;
   int looks_for_room_ = 0;
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -199,6 +199,18 @@
     world_->queue().at(time, [this, line] { act(line); });
   }
 
+  static world::Cut cut_of(const Line& line) {
+    world::Cut cut;
+    for (const auto& each : split(line.text("what", "state"), ',')) {
+      cut.state = cut.state || each == "state";
+      cut.workers = cut.workers || each == "workers";
+      cut.peers = cut.peers || each == "peers";
+      cut.users = cut.users || each == "users";
+    }
+    cut.hold = line.flag("hold");
+    return cut;
+  }
+
   void act(const Line& line) {
     const std::string what = line.words.at(2);
     const double for_s = line.number_of("for", 10);
@@ -222,19 +234,14 @@
       world_->cloud().set_boot_failures(line.number_of("share", 0.5));
       queue.after(for_s, [this] { world_->cloud().set_boot_failures(0); });
     } else if (what == "cut") {
-      world::Cut cut;
-      for (const auto& each : split(line.text("what", "state"), ',')) {
-        cut.state = cut.state || each == "state";
-        cut.workers = cut.workers || each == "workers";
-        cut.peers = cut.peers || each == "peers";
-        cut.users = cut.users || each == "users";
-      }
-      cut.hold = line.flag("hold");
+      const world::Cut cut = cut_of(line);
       const int node = world_->pick_node(line.text("node", "leader"));
       world_->cut(node, cut);
       queue.after(for_s, [this, node] { world_->heal(node); });
     } else if (what == "crash_winner") {
       world_->crash_next_winner(line.number_of("back", 0.2));
+    } else if (what == "cut_winner") {
+      world_->cut_next_winner(cut_of(line), for_s);
     } else if (what == "deaf") {
       world_->deafen_machines(count, for_s);
     } else if (what == "copies") {
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -53,6 +53,8 @@
     const double there = world.queue_.chance(0.01) ? 0.3 : world.queue_.uniform(0.001, 0.004);
     world.queue_.after(there, [this, state, request, settle] {
       const auto reply = [this, state, settle](HttpResponse response) {
+        // Nothing crosses a cut, answers to calls made before it included.
+        if (state && cut.state) return;
         if (state && world.queue_.chance(world.settings_.lose_answers)) return;
         world.queue_.after(world.queue_.uniform(0.001, 0.004),
                            [settle, response] { settle(response); });
@@ -359,6 +361,11 @@
   return out;
 }
 
+void World::cut_next_winner(const Cut& cut, double for_s) {
+  winners_cut_ = cut;
+  cut_winner_s_ = for_s;
+}
+
 void World::sweep() {
   rules_.sweep();
   if (crash_winner_ >= 0)
@@ -367,7 +374,16 @@
         crash(each->number, std::exchange(crash_winner_, -1));
         break;
       }
-  queue_.after(crash_winner_ >= 0 ? 0.01 : 0.5, [this] { sweep(); });
+  if (cut_winner_s_ >= 0)
+    for (auto& each : controllers_)
+      if (each->node && each->node->leads()) {
+        const int number = each->number;
+        cut(number, winners_cut_);
+        queue_.after(std::exchange(cut_winner_s_, -1), [this, number] { heal(number); });
+        break;
+      }
+  // Closely enough to find a winner that has not read the journal yet.
+  queue_.after(crash_winner_ >= 0 || cut_winner_s_ >= 0 ? 0.001 : 0.5, [this] { sweep(); });
 }
 
 }  // namespace poppystile::world
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -67,6 +67,8 @@
   void copy_reports(double share, double least_s, double most_s, double for_s);
   // The next time that somebody wins an election, it crashes at once.
   void crash_next_winner(double back_after_s) { crash_winner_ = back_after_s; }
+  // The same, but it is cut off before it has read what its predecessors wrote.
+  void cut_next_winner(const Cut& cut, double for_s);
 
   std::size_t accepted() const { return rules_.accepted_jobs(); }
   std::uint64_t state_refused() const { return state_->refused(); }
@@ -100,6 +102,8 @@
   std::set<std::string> deaf_;  // machines
   double copy_share_ = 0, copy_least_s_ = 0, copy_most_s_ = 0;
   double crash_winner_ = -1;
+  double cut_winner_s_ = -1;
+  Cut winners_cut_;
   std::uint64_t lapses_gone_ = 0;
 };
 
