--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -282,7 +282,11 @@
     for (auto& each : controllers_)
       if (each->node && each->node->leads()) return each->number;
   }
-  if (which == "leader" || which == "any")
+  if (which == "follower") {
+    for (auto& each : controllers_)
+      if (each->node && !each->node->leads()) return each->number;
+  }
+  if (which == "leader" || which == "follower" || which == "any")
     return static_cast<int>(queue_.uniform(0, static_cast<double>(controllers_.size())));
   return std::stoi(which);
 }
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -51,7 +51,7 @@
   void ask_unknown(const std::string& id);
   std::string any_job(const std::string& job_class, bool finished) const;
 
-  // Faults. A node is "any", "leader", or a number.
+  // Faults. A node is "any", "leader", "follower", or a number.
   int pick_node(const std::string& which);
   void crash(int node, double back_after_s);
   void cut(int node, const Cut& cut);
