Guaranteed work takes any room before it takes room back: an end to preempting in circles

LABL left a promised task to wait for its holder; others took the room freed for it and lost it again.

--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -369,19 +369,36 @@
     }
   }
 
-  // What a team has been promised is taken back from teams that borrow, for arrays too.
+  // What a team has been promised starts wherever there is room, also where it has to fetch; only
+  // then is room taken back from teams that borrow. Were it left to wait for a holder, others
+  // would take the room that was freed for it, and lose it again.
   void claim_guarantees(const std::vector<const Job*>& batch) {
     std::map<std::string, std::uint32_t> placed;
     for (const auto& each : plan_.placements) ++placed[each.job];
     for (const Job* job : batch) {
       if (!guaranteed_.contains(job)) continue;
-      const std::uint32_t left = job->waiting() - placed[job->spec().id];
-      const std::uint32_t most = std::min(left, team_room(job->spec()));
-      for (std::uint32_t i = 0; i < most; ++i)
-        if (!make_room(*job)) break;
+      const JobSpec& spec = job->spec();
+      std::uint32_t left = std::min(job->waiting() - placed[spec.id], team_room(spec));
+      while (left > 0 && place_anywhere(spec)) --left;
+      while (left > 0 && make_room(*job)) --left;
     }
   }
 
+  bool place_anywhere(const JobSpec& job) {
+    Slot* best = nullptr;
+    double least = 0;
+    for (auto& slot : slots_) {
+      if (!fits(slot, job)) continue;
+      const double fetch = slot.holds(job.image) ? 0 : job.image_gb / slot.machine->fetch_gb_per_s;
+      if (best != nullptr && fetch >= least) continue;
+      best = &slot;
+      least = fetch;
+    }
+    if (best == nullptr) return false;
+    commit(*best, job);
+    return true;
+  }
+
   LablJob labl_job(const Job& job) {
     const JobSpec& spec = job.spec();
     LablJob out;
