--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -43,6 +43,10 @@
 // keys a page; PROTOCOL allows 1,000 or 512 KiB.
 inline constexpr int list_page = 500;
 
+// share of the cloud's calls that the leader uses; nobody else calls, but a former leader may have
+// used some just before.
+inline constexpr double cloud_rate_share = 0.9;
+
 // calls for users that may wait for the rate limit; at the usual rates these are out in a second.
 inline constexpr std::size_t most_waiting_users = 60;
 
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "constants.hpp"
@@ -17,7 +18,6 @@
 constexpr double catalog_every_s = 60;  // seconds; prices move slowly
 constexpr double ask_again_s = 2;       // seconds before an unanswered rental is asked for again
 constexpr std::size_t most_released = 100;  // names; PROTOCOL's bound on one release
-constexpr std::size_t most_hires = 12;      // rentals under way at once, far below the cloud's rate
 }  // namespace
 
 CloudDesk::CloudDesk(transport::Runtime& runtime, transport::HttpCaller& http, StateStore& store,
@@ -32,7 +32,7 @@
       settings_(settings),
       properties_(properties),
       budget_(settings.cloud_rps, runtime.now_s()) {
-  budget_.set_share(constants::leader_rate_share);
+  budget_.set_share(constants::cloud_rate_share);
 }
 
 void CloudDesk::begin(bookkeeping::Model& model,
@@ -46,7 +46,11 @@
   demands_.clear();
   listing_ = releasing_ = catalog_busy_ = false;
   if (types_.empty()) types_ = directory_.types();
-  for (const auto& [name, record] : hires) hires_[name] = Hire{record};
+  for (const auto& [name, record] : hires) {
+    Hire hire{record};
+    hire.asked = true;  // by a former leader, for all we know
+    hires_[name] = hire;
+  }
 }
 
 void CloudDesk::end() {
@@ -139,7 +143,7 @@
 // --- rentals ---
 
 void CloudDesk::ask_for_machines(const std::string& name, Hire& hire) {
-  hire.asking = true;
+  hire.asking = hire.asked = true;
   const auto& want = hire.record;
   call({"POST", protocol::hire_path,
         protocol::encode_hire(name, want.type, want.zone, want.spot, want.count)},
@@ -201,6 +205,7 @@
 }
 
 void CloudDesk::size_fleet() {
+  drop_hopeless();
   planning::FleetContext context;
   context.now_s = runtime_.now_s();
   context.now_wall_s = runtime_.wall_s();
@@ -216,8 +221,11 @@
     context.underway.push_back(
         {{hire.record.type, hire.record.zone, hire.record.spot}, hire.record.count});
   const planning::FleetPlan plan = planning::plan_fleet(*model_, context);
+  // Calls are few: what cannot be asked for soon is not fixed in a request yet, so that it grows
+  // together with what is wanted by then.
+  const auto most = static_cast<std::size_t>(std::ceil(settings_.cloud_rps));
   for (const auto& want : plan.hire) {
-    if (hires_.size() >= most_hires) break;
+    if (hires_.size() >= most) break;
     // The token makes the name this leader's own: it is never used again.
     const std::string name =
         "h-" + std::to_string(leadership_.token()) + "-" + std::to_string(++names_);
@@ -241,6 +249,17 @@
   }
 }
 
+// What nobody has asked for yet and has been refused under another name meanwhile.
+void CloudDesk::drop_hopeless() {
+  std::vector<std::string> hopeless;
+  for (const auto& [name, hire] : hires_) {
+    const auto refusal = refusals_.find({hire.record.type, hire.record.zone, hire.record.spot});
+    if (!hire.asked && refusal != refusals_.end() && refusal->second.until_s > runtime_.now_s())
+      hopeless.push_back(name);
+  }
+  for (const auto& name : hopeless) settle(name);
+}
+
 // --- releases ---
 
 // Machines that never came up, fell silent for good, or fail everything.
--- a/src/coordination/cloud_desk.hpp
+++ b/src/coordination/cloud_desk.hpp
@@ -24,6 +24,7 @@
   bookkeeping::HireRecord record;
   std::uint64_t mark = 0;  // asked for once the journal has landed this far
   bool asking = false;
+  bool asked = false;  // so it may be carried out late
   double ask_at_s = 0;
 };
 
@@ -60,6 +61,7 @@
   void hired(const std::string& name, const std::string& body);
   void give_back_lost();
   void size_fleet();
+  void drop_hopeless();
   void release(const std::vector<std::string>& machines);
   void release_due();
   void read_list(const std::string& after);
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -65,6 +65,8 @@
     }
     for (const auto& [offer, count] : hires_)
       plan.hire.push_back({offer, std::min(count, constants::max_hire)});
+    std::stable_sort(plan.hire.begin(), plan.hire.end(),
+                     [](const auto& a, const auto& b) { return a.count > b.count; });
     for (const auto& [id, machine] : model_.machines)
       if (machine.draining && !machine.releasing && machine.placements.empty())
         plan.release.push_back(id);
