Arrays that can still be nearly in time go first; what a batch leaves free goes to the next

The order is by the latest start that meets 1.5 times the deadline (a class's own aim where a job has none); an array that waited long begins with a part. Silent machines are kept longer: the dead are listed as failed. Replicas move at a pace that costs 0.5% of their time.

--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -92,6 +92,7 @@
   double session_s = 0;      // steady; of the session's first report
   double heard_s = 0;        // steady; of the newest report
   double last_answer_s = 0;  // steady
+  bool answered = false;     // by this leader, ever
   double hired_wall_s = 0;
   double idle_since_s = 0;  // steady
 
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -145,8 +145,16 @@
 // times its own duration that a plan leaves free after it: so plans take a tenth of the processor's
 // share at most.
 inline constexpr double plan_rest = 9;
-// times over that the tasks of a batch could fill the room that there is now.
-inline constexpr std::int64_t batch_fills = 2;
+// batches one plan puts together at most, each from what the one before it left.
+inline constexpr int most_batches = 3;
+// seconds after submission by which an array should be over that has no deadline and no aim.
+inline constexpr double default_due_s = 300;
+// times its deadline after which a late array counts as overdue; users ask for 1.5 beside 1.
+inline constexpr double late_due = 1.5;
+// seconds after which an array that has not begun gets a part of its tasks in before all others;
+// PROTOCOL wants the largest to begin within 240 s.
+inline constexpr double starved_s = 150;
+inline constexpr std::uint32_t starved_part = 20;
 // looks for work to preempt in one plan; each goes through all machines.
 inline constexpr int most_looks_for_room = 20;
 // reports' intervals of delay that a service takes for a machine full of services instead of one
@@ -162,8 +170,9 @@
 inline constexpr double boot_patience = 4.0;
 // seconds added to it, for types that boot at once.
 inline constexpr double boot_patience_floor_s = 30.0;
-// seconds a machine may stay silent beyond its lease before it is given back.
-inline constexpr double silence_grace_s = 25.0;
+// seconds a machine may stay silent beyond its lease before it is given back. One that has died is
+// listed as failed after half a minute; one that hangs or is cut off comes back with its images.
+inline constexpr double silence_grace_s = 90.0;
 // seconds that the fleet keeps room for its highest demand; deleting costs at least 60 s of rent.
 inline constexpr double idle_keep_s = 40.0;
 // times that demand: room for what comes next.
@@ -172,8 +181,10 @@
 inline constexpr double drain_share = 0.05;
 // share of a machine that services may hold when it is emptied by moving them elsewhere.
 inline constexpr double move_share = 0.5;
-// share of the replicas that may be on the move at a time.
-inline constexpr double moving_share = 0.02;
+// share of the replicas' time that moving them may cost.
+inline constexpr double moving_cost = 0.005;
+// reports' intervals that a replica on the move is down.
+inline constexpr double moving_reports = 2.0;
 // failures in a row, of different jobs, that put a machine in quarantine.
 inline constexpr int quarantine_failures = 3;
 // seconds; first and longest pause before a failed task is tried again.
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -290,6 +290,7 @@
       answer.commands.push_back({Command::Op::start, each.job, each.index, each.attempt, 0});
     }
   machine.last_answer_s = runtime_.now_s();
+  machine.answered = true;
   answer.respond({200, protocol::encode_commands(leadership_.token(), answer.commands)});
 }
 
@@ -565,8 +566,15 @@
 void Dispatcher::watch_leases() {
   const double now = runtime_.now_s();
   const double lease = settings_.lease_s * (1 + constants::clock_drift) + constants::lease_margin_s;
+  // Whoever led before us fell silent in time for every lease that it kept up to end within
+  // `cancel_s` of its last renewal, which came before our election (Node::answer_until_s).
+  const double former_end = leadership_.won_s() +
+                            settings_.cancel_s * (1 + constants::clock_drift) +
+                            constants::lease_margin_s;
   for (auto& [id, machine] : model_.machines) {
     if (machine.session == 0) continue;
+    if (!machine.answered && now > former_end && !machine.placements.empty())
+      end_all(machine, "not heard, and every former leader's answers have run out");
     machine.late = now - machine.heard_s > constants::late_reports * settings_.report_s + 1;
     if (!machine.placements.empty()) machine.idle_since_s = now;
     if (now - machine.last_answer_s <= lease || machine.lost) continue;
@@ -580,29 +588,24 @@
     if (job.waiting() > 0 && !job.record.cancelled) plan_due_ = true;
 }
 
-// Replicas leave a draining machine a few at a time; each is down from its stop until its start
-// elsewhere, so only as many move as their class hardly notices.
+// Replicas leave a draining machine one at a time. Each is down from its stop until its start
+// elsewhere, so the pause between two moves keeps that cost to a small share of their time.
 void Dispatcher::move_replicas() {
+  const double now = runtime_.now_s();
+  if (now < move_at_s_) return;
   std::size_t replicas = 0;
-  std::size_t moving = 0;
-  std::vector<Placement*> to_move;
+  Placement* next = nullptr;
   for (auto& [id, machine] : model_.machines)
     for (auto& each : machine.placements) {
       const Job* job = model_.job(each.job);
       if (job == nullptr || job->spec().kind != protocol::JobKind::service) continue;
       ++replicas;
-      if (each.phase != PlacementPhase::running || each.stopping) {
-        ++moving;
-      } else if (machine.draining) {
-        to_move.push_back(&each);
-      }
+      if (machine.draining && each.phase == PlacementPhase::running && !each.stopping) next = &each;
     }
-  const auto most = static_cast<std::size_t>(
-      std::max(1.0, static_cast<double>(replicas) * constants::moving_share));
-  for (Placement* each : to_move) {
-    if (moving++ >= most) return;
-    each->stopping = true;
-  }
+  if (next == nullptr) return;
+  next->stopping = true;
+  move_at_s_ = now + constants::moving_reports * settings_.report_s /
+                         (static_cast<double>(replicas) * constants::moving_cost);
 }
 
 void Dispatcher::plan() {
@@ -614,6 +617,8 @@
   context.weights = {constants::local_units, constants::remote_units,
                      properties_.remote_offset_units, true};
   context.report_s = settings_.report_s;
+  context.now_wall_s = runtime_.wall_s();
+  context.finish_aims = &settings_.finish_aims;
   const planning::Plan made = planning::make_plan(model_, context);
   const std::uint64_t attempt = next_attempt();
   for (const auto& each : made.placements) {
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -110,6 +110,7 @@
   double close_at_s_ = 0;
   double swept_s_ = 0;
   double leases_s_ = 0;
+  double move_at_s_ = 0;
   std::int64_t least_waiting_cpus_ = std::numeric_limits<std::int64_t>::max();
   std::set<std::string> closable_;          // jobs whose final record is due
   std::map<std::string, HeldAnswer> held_;  // by machine
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -279,8 +279,8 @@
       const JobSpec& spec = job->second.spec();
       const auto to = std::find_if(bins_.begin(), bins_.end(), [&](const Bin& bin) {
         return &bin != &from && bin.machine != nullptr && bin.machine->heard &&
-               services_on(*bin.machine) > 0 && may_run_on(spec, bin.like) &&
-               spec.each.fits(bin.room);
+               bin.machine->holds(spec.image) && services_on(*bin.machine) > 0 &&
+               may_run_on(spec, bin.like) && spec.each.fits(bin.room);
       });
       if (to == bins_.end()) {
         for (auto& [bin, room] : taken) bin->room += room;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -35,8 +35,22 @@
   return std::max(job.estimate_s, constants::least_estimate_s);
 }
 
+std::optional<double> due_s(const JobSpec& job, const std::vector<protocol::FinishAim>& aims) {
+  if (job.deadline_s) return job.deadline_s;
+  std::optional<double> due;
+  for (const auto& aim : aims)
+    if (aim.job_class == job.job_class) due = std::min(due.value_or(aim.within_s), aim.within_s);
+  return due;
+}
+
 namespace {
 
+// Where a job stands in the batch: the lower rank first, then the earlier time.
+struct Turn {
+  int rank = 0;
+  double at_s = 0;
+};
+
 // A machine as the plan changes it.
 struct Slot {
   const Machine* machine = nullptr;
@@ -81,12 +95,14 @@
     find_guaranteed();
     for (const auto& [id, machine] : model_.machines)
       if (takes_tasks(machine, context_.now_s)) slots_.push_back(slot_of(machine));
+    for (const auto& [priority, batch] : arrays)
+      for (const Job* job : batch) turns_[job] = turn_of(*job);
     const auto comes_first = [this](const Job* a, const Job* b) { return before(a, b); };
     std::stable_sort(services.begin(), services.end(), comes_first);
     for (const Job* job : services) place_service(*job);
     for (auto& [priority, batch] : arrays) {
       std::stable_sort(batch.begin(), batch.end(), comes_first);
-      place_batch(batch);
+      place_batches(batch);
       claim_guarantees(batch);
     }
     return std::move(plan_);
@@ -97,9 +113,35 @@
     if (a->spec().priority != b->spec().priority) return a->spec().priority > b->spec().priority;
     const bool a_guaranteed = guaranteed_.contains(a);
     if (a_guaranteed != guaranteed_.contains(b)) return a_guaranteed;
+    const auto a_turn = turns_.find(a);
+    const auto b_turn = turns_.find(b);
+    if (a_turn != turns_.end() && b_turn != turns_.end()) {
+      const Turn& x = a_turn->second;
+      const Turn& y = b_turn->second;
+      if (x.rank != y.rank) return x.rank < y.rank;
+      if (x.at_s != y.at_s) return x.at_s < y.at_s;
+    }
     return earlier(a, b);
   }
 
+  // Arrays that can still be nearly in time go by the latest start that is; what is overdue goes
+  // after them, by age. Before all of them comes the first of a job that has waited long and has
+  // not begun, so that nothing starves.
+  Turn turn_of(const Job& job) const {
+    const double submitted = job.record.accepted_wall_s;
+    if (has_starved(job)) return {0, submitted};
+    const double due = constants::late_due *
+                       due_s(job.spec(), *context_.finish_aims).value_or(constants::default_due_s);
+    const double latest = submitted + due - believed_run_s(job.spec());
+    if (context_.now_wall_s <= latest) return {1, latest};
+    return {2, submitted};
+  }
+
+  bool has_starved(const Job& job) const {
+    return job.waiting() == job.spec().tasks &&
+           context_.now_wall_s - job.record.accepted_wall_s > constants::starved_s;
+  }
+
   // Ids break ties, so that the same picture always gives the same plan.
   static bool earlier(const Job* a, const Job* b) {
     if (a->record.accepted_wall_s != b->record.accepted_wall_s)
@@ -334,30 +376,37 @@
     return chosen;
   }
 
-  // One merged batch of arrays, planned as a whole; its front goes to the machines now. Jobs enter
-  // in order until they could fill the room that there is twice over: what lies further ahead is
-  // planned anew anyway before its turn comes.
-  void place_batch(const std::vector<const Job*>& batch) {
+  // Merged batches of arrays, each planned as a whole. Jobs enter in their order until they could
+  // fill the room that there is. What a batch leaves free, because its tasks are better off waiting
+  // for a holder, goes to a batch of those that come next.
+  void place_batches(const std::vector<const Job*>& jobs) {
+    std::map<const Job*, std::uint32_t> entered;
+    for (int round = 0; round < constants::most_batches; ++round)
+      if (!place_batch(jobs, entered)) return;
+  }
+
+  bool place_batch(const std::vector<const Job*>& batch,
+                   std::map<const Job*, std::uint32_t>& entered) {
     std::int64_t left = 0;
     std::vector<LablServer> servers;
     for (const auto& slot : slots_) {
       servers.push_back({slot.load});
       left += std::max<std::int64_t>(0, slot.room.cpus);
     }
-    left *= constants::batch_fills;
     std::vector<LablJob> jobs;
     std::vector<const JobSpec*> specs;
     const std::map<std::string, Resources> before = used_;
     for (const Job* job : batch) {
       if (left <= 0) break;
-      LablJob entered = labl_job(*job);
-      if (entered.count == 0) continue;
-      left -= job->spec().each.cpus * entered.count;
-      jobs.push_back(std::move(entered));
+      LablJob next = labl_job(*job, entered[job]);
+      if (next.count == 0) continue;
+      entered[job] += next.count;
+      left -= job->spec().each.cpus * next.count;
+      jobs.push_back(std::move(next));
       specs.push_back(&job->spec());
     }
     used_ = before;
-    if (jobs.empty()) return;
+    if (jobs.empty()) return false;
     const LablPlan plan = plan_labl(std::move(jobs), servers, context_.weights);
     for (const auto& each : plan.assignments) {
       const JobSpec& spec = *specs[each.job];
@@ -367,6 +416,7 @@
                                               1, spec.each.times_in(slot.for_arrays)));
       commit(slot, spec);
     }
+    return true;
   }
 
   // What a team has been promised starts wherever there is room, also where it has to fetch; only
@@ -399,7 +449,8 @@
     return true;
   }
 
-  LablJob labl_job(const Job& job) {
+  // `entered`: its tasks that are in an earlier batch of this plan.
+  LablJob labl_job(const Job& job, std::uint32_t entered) {
     const JobSpec& spec = job.spec();
     LablJob out;
     std::int64_t abreast_now = 0;
@@ -413,10 +464,14 @@
       out.holder.push_back(allowed && slot.holds(spec.image) ? 1 : 0);
       if (allowed) abreast_now += spec.each.times_in(slot.room);
     }
-    // Jobs enter by arrival within their team's limit.
-    const auto most = static_cast<std::uint32_t>(
-        std::min<std::int64_t>(constants::batch_fills * abreast_now, constants::max_tasks));
-    out.count = std::min({job.waiting(), team_room(spec), most});
+    // Jobs enter by their order within their team's limit.
+    const auto most =
+        static_cast<std::uint32_t>(std::min<std::int64_t>(abreast_now, constants::max_tasks));
+    out.count = std::min({job.waiting() - entered, team_room(spec), most});
+    if (has_starved(job)) {
+      const std::uint32_t part = spec.tasks / constants::starved_part + 1;
+      out.count = std::min(out.count, part - std::min(part, entered));
+    }
     const std::int64_t count = out.count;
     used_[spec.team] += {spec.each.cpus * count, spec.each.gpus * count, spec.each.memory * count};
     return out;
@@ -442,6 +497,7 @@
   std::map<std::string, std::map<std::string, std::uint32_t>> class_zones_;  // of services
   std::set<const Placement*> stopped_;
   std::set<const Job*> guaranteed_;
+  std::map<const Job*, Turn> turns_;
   int looks_for_room_ = 0;
   Plan plan_;
 };
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -67,6 +67,16 @@
   out.clock_bound_s = amount_or(given, "time_bound_ms", 100) / 1000;
 }
 
+// Aims of other kinds are not needed here, nor is the list itself.
+void parse_objectives(const Json& given, Settings& out) {
+  if (find(given, "objectives") == nullptr) return;
+  for (const Json& each : need_list(given, "objectives")) {
+    if (!each.is_object()) throw DecodeError("objectives: expected objects");
+    if (need_text(each, "kind") != "finished") continue;
+    out.finish_aims.push_back({need_text(each, "class"), need_positive(each, "within_s")});
+  }
+}
+
 }  // namespace
 
 Settings parse_settings(const std::string& text) {
@@ -86,6 +96,7 @@
   for (const Json& each : need_list(given, "zones")) out.zones.push_back(as_text(each, "zones"));
   for (const Json& each : need_list(given, "teams")) out.teams.push_back(parse_team(each));
   parse_limits(given, out);
+  parse_objectives(given, out);
   return out;
 }
 
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -19,6 +19,12 @@
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
 };
 
+// Of the users' aims, those on when jobs finish: within so many seconds for a class.
+struct FinishAim {
+  std::string job_class;
+  double within_s = 0;
+};
+
 struct Settings {
   std::string name;
   std::string zone;
@@ -29,6 +35,7 @@
   transport::Endpoint state;
   std::vector<std::string> zones;
   std::vector<TeamSettings> teams;
+  std::vector<FinishAim> finish_aims;
   double report_s = 1, lease_s = 10, cancel_s = 30;
   double state_rps = 100, state_write_rps = 20, value_kb = 8;
   int txn_ops = 16;
