Siblings tell what they cancelled, so leases outlive a long outage; holders with room are filled

Siblings now tell which cancellations they accepted, and their word that nothing was reached since extends its time. Planning: a task planned to wait for a full holder starts at one with room.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -64,6 +64,9 @@
 inline constexpr double lease_margin_s = 1.0;
 // seconds between status frames to siblings.
 inline constexpr double peer_beat_s = 1.0;
+// seconds that a node goes on telling its siblings which cancellations it has accepted: far longer
+// than an outage of the state service through which a leader keeps its workers' leases alive.
+inline constexpr double told_cancellations_s = 120;
 // seconds; a sibling's word is believed for this long.
 inline constexpr double peer_fresh_s = 3.0;
 
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -213,6 +213,12 @@
       if (each.index == index && each.job == id) each.stopping = true;
 }
 
+void Dispatcher::cancelled_elsewhere(const std::string& id) {
+  Job* job = model_.job(id);
+  if (job == nullptr || std::exchange(job->record.cancelled, true)) return;
+  stop_all(id);
+}
+
 void Dispatcher::note_closable(const std::string& id, const Job& job) {
   if (job.record.cancelled ? job.places.empty() : job.all_finished()) closable_.insert(id);
 }
@@ -573,7 +579,7 @@
                             constants::lease_margin_s;
   for (auto& [id, machine] : model_.machines) {
     if (machine.session == 0) continue;
-    if (!machine.answered && now > former_end && !machine.placements.empty())
+    if (!machine.heard && !machine.answered && now > former_end && !machine.placements.empty())
       end_all(machine, "not heard, and every former leader's answers have run out");
     machine.late = now - machine.heard_s > constants::late_reports * settings_.report_s + 1;
     if (!machine.placements.empty()) machine.idle_since_s = now;
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -31,6 +31,8 @@
   TaskCounts counts(const std::string& job) const;
   std::vector<std::string> job_ids(std::size_t most) const;
   bool ready() const { return ready_; }
+  // A sibling has accepted this; the state service may not be there to tell us.
+  void cancelled_elsewhere(const std::string& job);
 
  private:
   // An answer that waits for the journal.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -59,6 +59,7 @@
   status.leading = leadership_.leading();
   status.sent_wall_s = runtime_.wall_s();
   status.state_wall_s = store_.last_contact_wall_s();
+  status.cancelled = users_.recent_cancellations();
   if (status.leading)
     for (const auto& id : dispatcher_.job_ids(most_told_jobs)) {
       const TaskCounts counts = dispatcher_.counts(id);
@@ -82,6 +83,7 @@
     for (const auto& each : last.counts) told_counts_[each.job] = {each.done, each.running};
   }
   if (!leadership_.leading()) return;
+  for (const auto& id : last.cancelled) dispatcher_.cancelled_elsewhere(id);
   if (last.token > leadership_.token())
     return leadership_.step_down("a sibling knows a higher token");
   // Our grant has run out unless the whole state service is down; a sibling it answers proves
@@ -99,8 +101,9 @@
 }
 
 // A cancellation accepted elsewhere must reach our workers within `cancel_s`, also when we are cut
-// off: then their leases must have ended by then. A sibling that cannot reach the state service
-// either, and had no answer since our own last one, can have accepted none.
+// off: then their leases must have ended by then. A sibling that tells us it has had no answer from
+// the state service for a while has accepted nothing meanwhile, and told us what it accepted
+// before.
 double Node::answer_until_s() const {
   const double confirmed = leadership_.confirmed_s();
   const double budget = settings_.cancel_s - settings_.lease_s * (1 + constants::clock_drift) -
@@ -108,15 +111,16 @@
   // Without its picture a leader keeps leases alive but stops nothing, not even what was cancelled
   // before its election and not stopped by its predecessor any more.
   if (!dispatcher_.ready()) return leadership_.won_s() + budget * constants::unready_answer_share;
-  const double confirmed_wall = runtime_.wall_s() - (runtime_.now_s() - confirmed);
   double known_until = runtime_.now_s();
+  // What siblings accepted before that is not in their frames any more.
+  if (known_until - confirmed > constants::told_cancellations_s / 2) known_until = confirmed;
   for (const auto& sibling : settings_.siblings) {
     const auto found = siblings_.find(sibling.name);
-    const bool silent_since =
-        found != siblings_.end() &&
-        found->second.state_wall_s < confirmed_wall - 2 * settings_.clock_bound_s;
-    known_until = std::min(
-        known_until, silent_since ? std::max(confirmed, sent_steady_s(found->second)) : confirmed);
+    // Longer than a call may take: whatever was asked for before has been answered or given up.
+    const bool silent = found != siblings_.end() &&
+                        found->second.state_wall_s + contact_stale_s < found->second.sent_wall_s;
+    known_until = std::min(known_until,
+                           silent ? std::max(confirmed, sent_steady_s(found->second)) : confirmed);
   }
   return std::max(confirmed, known_until) + budget;
 }
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -253,6 +253,15 @@
   mark_cancelled(id, runtime_.now_s(), std::move(respond));
 }
 
+std::vector<std::string> UserDesk::recent_cancellations() {
+  while (!cancelled_.empty() &&
+         runtime_.now_s() - cancelled_.front().first > constants::told_cancellations_s)
+    cancelled_.pop_front();
+  std::vector<std::string> out;
+  for (const auto& [at, id] : cancelled_) out.push_back(id);
+  return out;
+}
+
 void UserDesk::mark_cancelled(const std::string& id, double since_s, Respond respond) {
   const KnownJob* known = directory_.job(id);
   if (directory_.final_state(id) || (known != nullptr && known->record.cancelled))
@@ -274,6 +283,7 @@
                     if (result.outcome == Outcome::ok) {
                       directory_.learn(job_key(id), value, result.revision);
                       spdlog::info("job cancelled id={}", id);
+                      cancelled_.emplace_back(runtime_.now_s(), id);
                       return respond({200, protocol::encode_submitted(id, JobState::cancelled)});
                     }
                     if (result.outcome == Outcome::conflict) return read_again(id, again);
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -104,6 +104,7 @@
       std::stable_sort(batch.begin(), batch.end(), comes_first);
       place_batches(batch);
       claim_guarantees(batch);
+      fill_holders(batch);
     }
     return std::move(plan_);
   }
@@ -385,6 +386,24 @@
       if (!place_batch(jobs, entered)) return;
   }
 
+  // The plan may leave a task to wait for a full holder where another holder has room: it starts
+  // there now, for nothing is gained by waiting.
+  void fill_holders(const std::vector<const Job*>& jobs) {
+    std::vector<Slot*> roomy;
+    for (auto& slot : slots_)
+      if (slot.room.cpus > 0) roomy.push_back(&slot);
+    std::map<std::string, std::uint32_t> placed;
+    for (const auto& each : plan_.placements) ++placed[each.job];
+    for (const Job* job : jobs) {
+      const JobSpec& spec = job->spec();
+      std::uint32_t left = job->waiting() - placed[spec.id];
+      for (Slot* slot : roomy)
+        for (; left > 0 && slot->holds(spec.image) && fits(*slot, spec) && team_room(spec) > 0;
+             --left)
+          commit(*slot, spec);
+    }
+  }
+
   bool place_batch(const std::vector<const Job*>& batch,
                    std::map<const Job*, std::uint32_t>& entered) {
     std::int64_t left = 0;
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -16,8 +16,8 @@
 };
 using Item = std::unique_ptr<cbor_item_t, Release>;
 
-constexpr std::size_t status_fields = 7;  // the version, five values, the counts
-constexpr std::uint64_t version = 1;
+constexpr std::size_t status_fields = 8;  // the version, five values, counts, cancellations
+constexpr std::uint64_t version = 2;
 
 void push(cbor_item_t* array, cbor_item_t* value) {
   Item owned(value);
@@ -108,6 +108,9 @@
     push(counts, cbor_build_uint64(each.running));
   }
   push(root.get(), counts);
+  cbor_item_t* cancelled = cbor_new_definite_array(status.cancelled.size());
+  for (const auto& each : status.cancelled) push(cancelled, text(each));
+  push(root.get(), cancelled);
   unsigned char* buffer = nullptr;
   std::size_t capacity = 0;
   const std::size_t size = cbor_serialize_alloc(root.get(), &buffer, &capacity);
@@ -138,6 +141,11 @@
     if (!counts.good()) return std::nullopt;
     out.counts.push_back(std::move(each));
   }
+  Item cancelled = reader.next();
+  Reader ids(cancelled.get());
+  if (!reader.good() || !ids.good()) return std::nullopt;
+  for (std::size_t i = 0; i < ids.size(); ++i) out.cancelled.push_back(ids.words());
+  if (!ids.good()) return std::nullopt;
   return out;
 }
 
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -18,9 +18,10 @@
   std::string name;
   std::uint64_t token = 0;  // highest the sender knows of
   bool leading = false;
-  double sent_wall_s = 0;         // when this was said, by the time of day
-  double state_wall_s = 0;        // when the state service last answered the sender
-  std::vector<JobCounts> counts;  // only a leader's
+  double sent_wall_s = 0;              // when this was said, by the time of day
+  double state_wall_s = 0;             // when the state service last answered the sender
+  std::vector<JobCounts> counts;       // only a leader's
+  std::vector<std::string> cancelled;  // jobs whose cancellation it has accepted of late
 };
 
 std::string encode_peer_status(const PeerStatus& status);
