--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -4,8 +4,11 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <map>
 #include <optional>
 #include <random>
+#include <tuple>
 
 #include "constants.hpp"
 #include "world/event_queue.hpp"
@@ -65,8 +68,15 @@
       if (!mine.expired() && !std::exchange(*settled, true)) done(response);
     };
     queue_.after(timeout_s, [settle] { settle({}); });
+    const bool journal =
+        request.method == "POST" && request.body.find("journal/") != std::string::npos;
+    if (journal && repeat_after_s > 0)
+      queue_.after(repeat_after_s, [&service = service_, request] {
+        service.handle(request, [](const HttpResponse&) {});
+      });
+    const double held_s = journal ? hold_journal_s : 0;
     // What was sent arrives even when its sender has died since.
-    queue_.after(queue_.uniform(0.001, 0.02),
+    queue_.after(held_s + queue_.uniform(0.001, 0.02),
                  [&queue = queue_, &service = service_, lose = lose_answers_, request, settle] {
                    service.handle(request, [&queue, lose, settle](const HttpResponse& response) {
                      if (!queue.chance(lose)) settle(response);
@@ -86,6 +96,8 @@
   std::optional<JournalDesk> journal;
   Ledger ledger;
   bool loaded = false, understood = false, lost = false;
+  double hold_journal_s = 0;  // its transactions arrive this much later
+  double repeat_after_s = 0;  // and once more after this
 
  private:
   world::EventQueue& queue_;
@@ -152,6 +164,47 @@
   }
 }
 
+// A former leader's transaction that arrives after a takeover, on a key that its successor has not
+// written yet. Without the condition on the leader's key it would be carried out, and its successor
+// would have to give up.
+TEST_F(JournalDeskTest, ALateTransactionOfAFormerLeaderChangesNothing) {
+  Life& former = begin();
+  former.hold_journal_s = 12;
+  former.append(bookkeeping::known_entry("n-1", "g", "a", false, 0, 0));
+  former.journal->pump();
+  Life& life = begin();
+  ASSERT_TRUE(life.loaded);
+  EXPECT_FALSE(life.ledger.machines.contains("n-1"));
+  run(life, 15, [] {});
+  const auto mark = life.append(bookkeeping::known_entry("n-2", "g", "a", false, 0, 0));
+  run(life, 3, [] {});
+  EXPECT_FALSE(life.lost);
+  EXPECT_TRUE(life.journal->durable(mark));
+}
+
+// Transactions that were carried out are carried out again much later. Without the versions of the
+// keys in their conditions, an old head or segment would replace a newer one.
+TEST_F(JournalDeskTest, RepeatedTransactionsChangeNothing) {
+  Life& life = begin();
+  life.repeat_after_s = 55;
+  std::uint64_t made = 0;
+  std::map<std::string, std::uint64_t> durable;
+  std::deque<std::tuple<std::uint64_t, std::string, std::uint64_t>> marks;
+  run(life, 200, [&] {
+    const std::string id = "n-" + std::to_string(made % 40);
+    if (!life.ledger.machines.contains(id))
+      life.append(bookkeeping::known_entry(id, "g", "a", false, 0, 0));
+    const auto mark = life.append(bookkeeping::session_entry(id, ++made));
+    marks.emplace_back(mark, id, made);
+    for (; !marks.empty() && life.journal->durable(std::get<0>(marks.front())); marks.pop_front())
+      durable[std::get<1>(marks.front())] = std::get<2>(marks.front());
+  });
+  EXPECT_FALSE(life.lost);
+  Life& next = begin();
+  ASSERT_TRUE(next.loaded && next.understood);
+  for (const auto& [id, session] : durable) EXPECT_GE(next.ledger.machines.at(id).session, session);
+}
+
 TEST_F(JournalDeskTest, AnUnknownFormIsNotReadAsEmpty) {
   service.handle(
       {"POST", "/multi", R"({"when":[],"apply":[{"write":"journal/log/1","data":{"v":9}}]})"},
