--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -165,7 +165,8 @@
 
 // Fuzz-like, with a fixed seed: broken input raises DecodeError or gives a value, nothing else.
 TEST(Decoders, SurviveBrokenInput) {
-  const std::string frame = protocol::encode_peer_status({"s", 1, true, 2, 3, {{"j", 4, 5}}, {"k"}});
+  const std::string frame =
+      protocol::encode_peer_status({"s", 1, true, 2, 3, {{"j", 4, 5}}, {"k"}});
   const std::string machine_list =
       R"({"stiles":[{"id":"n-1","build":"g8","yard":"a","loaners":true,"stage":"running","held_s":6}],"more":false})";
   const std::string segment =
