--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -68,13 +68,13 @@
       if (!mine.expired() && !std::exchange(*settled, true)) done(response);
     };
     queue_.after(timeout_s, [settle] { settle({}); });
-    const bool journal =
+    const bool writes =
         request.method == "POST" && request.body.find("journal/") != std::string::npos;
-    if (journal && repeat_after_s > 0)
+    if (writes && repeat_after_s > 0)
       queue_.after(repeat_after_s, [&service = service_, request] {
         service.handle(request, [](const HttpResponse&) {});
       });
-    const double held_s = journal ? hold_journal_s : 0;
+    const double held_s = writes ? hold_journal_s : 0;
     // What was sent arrives even when its sender has died since.
     queue_.after(held_s + queue_.uniform(0.001, 0.02),
                  [&queue = queue_, &service = service_, lose = lose_answers_, request, settle] {
