Tidy after rereading: one cutter for segments and parts, no state that others hold

The keys to wipe stood in a list beside the versions, never cleared between terms; they are the versions' keys. Idle times were kept and read by nobody. A machine's services were counted anew for each replica that might move.

--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -94,7 +94,6 @@
   double last_answer_s = 0;  // steady
   bool answered = false;     // by this leader, ever
   double hired_wall_s = 0;
-  double idle_since_s = 0;  // steady
 
   Resources room() const {
     Resources free = size;
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -135,7 +135,7 @@
   fresh.session = known.session;
   fresh.hired_wall_s = known.hired_wall_s;
   fresh.images = known.images;
-  fresh.last_answer_s = fresh.heard_s = fresh.idle_since_s = ready_s_;
+  fresh.last_answer_s = fresh.heard_s = ready_s_;
   cloud_.fill_in(fresh);
   Machine& machine = model_.machines.emplace(id, std::move(fresh)).first->second;
   for (const auto& [job_id, index] : known.tasks) {
@@ -344,7 +344,6 @@
   machine.sequence = report.sequence;
   if (!machine.heard) {
     plan_due_ = true;
-    machine.idle_since_s = now;
     machine.suspect_s = now;
   }
   machine.heard = true;
@@ -582,7 +581,6 @@
     if (!machine.heard && !machine.answered && now > former_end && !machine.placements.empty())
       end_all(machine, "not heard, and every former leader's answers have run out");
     machine.late = now - machine.heard_s > constants::late_reports * settings_.report_s + 1;
-    if (!machine.placements.empty()) machine.idle_since_s = now;
     if (now - machine.last_answer_s <= lease || machine.lost) continue;
     machine.lost = true;
     plan_due_ = true;
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -57,10 +57,7 @@
         bookkeeping::JournalReader reader;
         std::optional<Ledger> ledger;
         try {
-          for (const auto& each : page.entries) {
-            versions_[each.key] = each.version;
-            unwanted_.push_back(each.key);
-          }
+          for (const auto& each : page.entries) versions_[each.key] = each.version;
           for (const auto& each : page.entries) reader.add(each.key, each.value);
           ledger = reader.replay();
         } catch (const protocol::DecodeError& problem) {
@@ -86,10 +83,7 @@
                     if (!page.entries.empty()) {
                       spdlog::error("placements of the first version found records={}",
                                     page.entries.size());
-                      for (const auto& each : page.entries) {
-                        versions_[each.key] = each.version;
-                        unwanted_.push_back(each.key);
-                      }
+                      for (const auto& each : page.entries) versions_[each.key] = each.version;
                       return done(std::nullopt);
                     }
                     open_ = true;
@@ -98,7 +92,7 @@
 }
 
 void JournalDesk::wipe(std::function<void()> done) {
-  if (unwanted_.empty()) {
+  if (versions_.empty()) {
     head_ = {};
     next_number_ = 1;
     open_ = true;
@@ -106,17 +100,19 @@
   }
   protocol::Transaction transaction;
   transaction.conditions.push_back(leadership_.fence());
-  const std::size_t most = std::min(unwanted_.size(), static_cast<std::size_t>(settings_.txn_ops));
-  for (std::size_t i = 0; i < most; ++i) transaction.changes.push_back({unwanted_[i], {}, 0});
+  std::vector<std::string> removed;
+  for (const auto& [key, version] : versions_) {
+    if (removed.size() == static_cast<std::size_t>(settings_.txn_ops)) break;
+    removed.push_back(key);
+    transaction.changes.push_back({key, {}, 0});
+  }
   store_.transact(std::move(transaction), Urgency::journal,
-                  [this, term = term_, most, done](const TransactionResult& result) {
+                  [this, term = term_, removed, done](const TransactionResult& result) {
                     if (term != term_) return;
                     if (result.outcome == Outcome::conflict)
                       return leadership_.step_down("a write found another leader");
                     if (result.outcome != Outcome::ok) return later([this, done] { wipe(done); });
-                    for (std::size_t i = 0; i < most; ++i) versions_.erase(unwanted_[i]);
-                    unwanted_.erase(unwanted_.begin(),
-                                    unwanted_.begin() + static_cast<std::ptrdiff_t>(most));
+                    for (const auto& key : removed) versions_.erase(key);
                     wipe(done);
                   });
 }
@@ -134,31 +130,35 @@
   return static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9);
 }
 
+// The texts of entries, in groups that fit a record each.
+std::vector<std::vector<std::string>> JournalDesk::grouped(const std::vector<Json>& entries) const {
+  std::vector<std::vector<std::string>> out;
+  std::size_t bytes = 0;
+  for (const Json& each : entries) {
+    std::string text = each.dump();
+    if (out.empty() || bytes + text.size() > most_value_bytes()) {
+      out.emplace_back();
+      bytes = 0;
+    }
+    bytes += text.size() + 1;
+    out.back().push_back(std::move(text));
+  }
+  return out;
+}
+
 // Puts what is pending into numbered segments.
 void JournalDesk::cut() {
-  if (pending_.empty()) return;
-  std::vector<std::string> texts;
-  std::size_t bytes = 0;
-  const auto close = [&](std::uint64_t mark) {
+  for (const auto& texts : grouped(std::exchange(pending_, {}))) {
     Record segment;
     segment.number = next_number_++;
     segment.key = bookkeeping::segment_key(segment.number % constants::journal_ring);
     segment.value = bookkeeping::encode_part(segment.number, leadership_.token(), texts);
-    segment.mark = mark;
+    segment.mark = landed_;
     bytes_since_ += segment.value.size();
     segments_.push_back(std::move(segment));
-    texts.clear();
-    bytes = 0;
-  };
-  for (const Json& each : pending_) {
-    std::string text = each.dump();
-    // Only the last segment of a cut holds all of the cut's marks.
-    if (!texts.empty() && bytes + text.size() > most_value_bytes()) close(landed_);
-    bytes += text.size() + 1;
-    texts.push_back(std::move(text));
   }
-  pending_.clear();
-  close(appended_);
+  // Only the last segment of a cut holds all of the cut's marks.
+  if (!segments_.empty()) segments_.back().mark = appended_;
 }
 
 // A snapshot describes everything appended so far. Reading goes on after it with the first segment
@@ -172,25 +172,14 @@
                            segments_.empty() ? next_number_ : segments_.front().number};
   bytes_since_ = 0;
   snapshot_bytes_ = 0;
-  std::vector<std::string> texts;
-  std::size_t bytes = 0;
-  const auto close = [&] {
+  for (const auto& texts : grouped(on_snapshot_())) {
     Record part;
     part.number = next_head_->generation;
     part.key = bookkeeping::snapshot_key(part.number, next_head_->parts++);
     part.value = bookkeeping::encode_part(part.number, leadership_.token(), texts);
     snapshot_bytes_ += part.value.size();
     parts_.push_back(std::move(part));
-    texts.clear();
-    bytes = 0;
-  };
-  for (const Json& each : on_snapshot_()) {
-    std::string text = each.dump();
-    if (!texts.empty() && bytes + text.size() > most_value_bytes()) close();
-    bytes += text.size() + 1;
-    texts.push_back(std::move(text));
   }
-  if (!texts.empty()) close();
 }
 
 void JournalDesk::make_batch() {
--- a/src/coordination/journal_desk.hpp
+++ b/src/coordination/journal_desk.hpp
@@ -54,6 +54,8 @@
 
   void list(std::function<void(std::optional<bookkeeping::Ledger>)> done);
   void look_for_old_form(std::function<void(std::optional<bookkeeping::Ledger>)> done);
+  std::vector<std::vector<std::string>> grouped(
+      const std::vector<bookkeeping::Json>& entries) const;
   void cut();
   void consider_snapshot();
   void make_batch();
@@ -71,7 +73,6 @@
   std::uint64_t term_ = 0;
   bool open_ = false;
   std::unordered_map<std::string, std::uint64_t> versions_;  // of all keys of the journal
-  std::vector<std::string> unwanted_;                        // keys that `wipe` removes
   std::vector<bookkeeping::Json> pending_;
   std::uint64_t appended_ = 0, landed_ = 0;  // marks
   std::uint64_t next_number_ = 1;
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -26,6 +26,7 @@
   Machine like;  // only type, zone and spot matter
   Resources room;
   const Machine* machine = nullptr;  // nothing: asked for, or about to be
+  std::int64_t services = 0;         // cores that its services hold
 };
 
 class Sizing {
@@ -38,7 +39,8 @@
         draining_ = true;
         continue;
       }
-      bins_.push_back({bare(machine.type, machine.zone, machine.spot), machine.room(), &machine});
+      bins_.push_back({bare(machine.type, machine.zone, machine.spot), machine.room(), &machine,
+                       services_on(machine)});
       ++present_[{machine.type, machine.zone, machine.spot}];
     }
     for (const auto& each : context.underway)
@@ -207,14 +209,19 @@
     }
   }
 
+  // The job of a replica that is there; nothing for an array's task or what has exited.
+  const JobSpec* service_of(const bookkeeping::Placement& placement) const {
+    const auto job = model_.jobs.find(placement.job);
+    if (placement.phase == bookkeeping::PlacementPhase::exited || job == model_.jobs.end() ||
+        job->second.spec().kind != JobKind::service)
+      return nullptr;
+    return &job->second.spec();
+  }
+
   std::int64_t services_on(const Machine& machine) const {
     std::int64_t cpus = 0;
-    for (const auto& each : machine.placements) {
-      const auto job = model_.jobs.find(each.job);
-      if (each.phase != bookkeeping::PlacementPhase::exited && job != model_.jobs.end() &&
-          job->second.spec().kind == JobKind::service)
-        cpus += each.each.cpus;
-    }
+    for (const auto& each : machine.placements)
+      if (service_of(each) != nullptr) cpus += each.each.cpus;
     return cpus;
   }
 
@@ -240,7 +247,7 @@
       supply += bin.machine->size.cpus;
       // Room that the packing has used is spoken for.
       if (!bin.machine->heard || bin.room.cpus != bin.machine->room().cpus) continue;
-      candidates.push_back({&bin, services_on(*bin.machine), price_per_cpu(*bin.machine)});
+      candidates.push_back({&bin, bin.services, price_per_cpu(*bin.machine)});
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
       return std::make_tuple(a.services, -a.price, a.bin->machine->used.cpus) <
@@ -267,20 +274,18 @@
   // Whether the services of a machine fit into the room of others; if so that room is taken.
   bool moves_elsewhere(Bin& from) {
     const Machine& machine = *from.machine;
-    if (static_cast<double>(services_on(machine)) >
+    if (static_cast<double>(from.services) >
         constants::move_share * static_cast<double>(machine.size.cpus))
       return false;
     std::vector<std::pair<Bin*, Resources>> taken;
     for (const auto& each : machine.placements) {
-      const auto job = model_.jobs.find(each.job);
-      if (each.phase == bookkeeping::PlacementPhase::exited || job == model_.jobs.end() ||
-          job->second.spec().kind != JobKind::service)
-        continue;
-      const JobSpec& spec = job->second.spec();
+      const JobSpec* service = service_of(each);
+      if (service == nullptr) continue;
+      const JobSpec& spec = *service;
       const auto to = std::find_if(bins_.begin(), bins_.end(), [&](const Bin& bin) {
         return &bin != &from && bin.machine != nullptr && bin.machine->heard &&
-               bin.machine->holds(spec.image) && services_on(*bin.machine) > 0 &&
-               may_run_on(spec, bin.like) && spec.each.fits(bin.room);
+               bin.machine->holds(spec.image) && bin.services > 0 && may_run_on(spec, bin.like) &&
+               spec.each.fits(bin.room);
       });
       if (to == bins_.end()) {
         for (auto& [bin, room] : taken) bin->room += room;
