A leader that no worker reaches resigns; the stand-in world knows nodes that stand still

Siblings now tell how many reports they redirect; a leader that hears far fewer gives its grant back.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -70,6 +70,18 @@
 // seconds; a sibling's word is believed for this long.
 inline constexpr double peer_fresh_s = 3.0;
 
+// seconds over which reports are counted to see whether workers reach their leader. A worker that
+// does not is sent on by a sibling every 5 s or so (PROTOCOL: 4 s without an answer, 1 s to the
+// next node), so that each of them shows within it; far below a lease.
+inline constexpr double reach_window_s = 6.0;
+// times as many reports redirected by siblings as come in here at which a leader resigns: a fault
+// of one zone or of some machines does not reach it.
+inline constexpr std::uint64_t resign_ratio = 4;
+// machines below which silence says nothing about the way to the leader.
+inline constexpr std::size_t reach_least_machines = 3;
+// seconds for which one that has resigned leaves the key to its siblings, unless workers reach it.
+inline constexpr double stand_aside_s = 30.0;
+
 // share of the time that a cut leader may go on answering for which one answers that has not read
 // the journal yet: cancellations may have waited for it since before its election.
 inline constexpr double unready_answer_share = 0.25;
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -238,6 +238,12 @@
   return out;
 }
 
+std::size_t Dispatcher::live_machines() const {
+  return static_cast<std::size_t>(
+      std::count_if(model_.machines.begin(), model_.machines.end(),
+                    [](const auto& each) { return each.second.heard && !each.second.lost; }));
+}
+
 std::uint64_t Dispatcher::next_attempt() {
   // The token makes attempts of different leaders distinct and growing, without a record. A task
   // is placed once a plan at most, so a plan's tasks can share a number.
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -31,6 +31,8 @@
   TaskCounts counts(const std::string& job) const;
   std::vector<std::string> job_ids(std::size_t most) const;
   bool ready() const { return ready_; }
+  // Machines that this leader has heard and not given up.
+  std::size_t live_machines() const;
   // A sibling has accepted this; the state service may not be there to tell us.
   void cancelled_elsewhere(const std::string& job);
 
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -39,7 +39,7 @@
 }
 
 void Leadership::consider() {
-  if (trying_ || !directory_.loaded()) return;
+  if (trying_ || !directory_.loaded() || runtime_.now_s() < aside_until_s_) return;
   const auto& leader = directory_.leader();
   // A key with our own name is an earlier life's: that process has ended, so it can be replaced.
   if (leader && leader->record.name != name_) return;
@@ -112,6 +112,12 @@
   if (!leader || leader->version != version_) step_down("key taken or gone");
 }
 
+void Leadership::resign(const std::string& why, double aside_s) {
+  aside_until_s_ = runtime_.now_s() + aside_s;
+  store_.drop_lease(lease_);
+  step_down(why);
+}
+
 void Leadership::step_down(const std::string& why) {
   if (!std::exchange(leading_, false)) return;
   spdlog::info("no longer leading token={} why=\"{}\"", token_, why);
--- a/src/coordination/leadership.hpp
+++ b/src/coordination/leadership.hpp
@@ -25,6 +25,10 @@
   // Steady time at which the election was asked for that this node won.
   double won_s() const { return won_s_; }
   void step_down(const std::string& why);
+  // Gives the grant back, so that a sibling can lead at once, and does not run again for a while.
+  void resign(const std::string& why, double aside_s);
+  // Ends that while.
+  void run_again() { aside_until_s_ = 0; }
   void on_won(std::function<void()> handler) { on_won_ = std::move(handler); }
   void on_lost(std::function<void()> handler) { on_lost_ = std::move(handler); }
 
@@ -49,6 +53,7 @@
   double confirmed_s_ = 0;
   double won_s_ = 0;
   double renewed_s_ = 0;
+  double aside_until_s_ = 0;  // steady; does not run for the key before
   std::function<void()> on_won_;
   std::function<void()> on_lost_;
 };
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -60,6 +60,8 @@
   status.sent_wall_s = runtime_.wall_s();
   status.state_wall_s = store_.last_contact_wall_s();
   status.cancelled = users_.recent_cancellations();
+  status.sent_away = reach_now_.sent_away;
+  judge_reach();
   if (status.leading)
     for (const auto& id : dispatcher_.job_ids(most_told_jobs)) {
       const TaskCounts counts = dispatcher_.counts(id);
@@ -78,6 +80,9 @@
   // Frames held back by a cut arrive late; an older one says nothing new.
   if (!known || status->sent_wall_s < last.sent_wall_s) return;
   last = std::move(*status);
+  // A frame that waited while we stood still, or in a cut, says nothing about now.
+  if (runtime_.wall_s() - last.sent_wall_s < constants::peer_fresh_s)
+    reach_now_.sent_away_elsewhere += last.sent_away;
   if (last.leading) {
     told_counts_.clear();
     for (const auto& each : last.counts) told_counts_[each.job] = {each.done, each.running};
@@ -95,6 +100,43 @@
     leadership_.step_down("a sibling reaches the state service");
 }
 
+// A leader that holds its grant while workers do not reach it serves nobody, and their leases run
+// out: it leaves the key to a sibling that they do reach. Siblings that hear us contradict by
+// redirecting nothing; when none can be heard, silence of all machines has to do.
+void Node::judge_reach() {
+  const double now = runtime_.now_s();
+  reach_now_.at_s = now;
+  reach_.push_back(std::exchange(reach_now_, {}));
+  // After a pause of our own, such as a stop of the process, counting begins again.
+  const bool paused =
+      reach_.size() > 1 && now - reach_[reach_.size() - 2].at_s > 2 * constants::peer_beat_s;
+  if (paused || !leadership_.leading()) reach_.clear();
+  std::size_t beats = 0;
+  while (!reach_.empty() && now - reach_.front().at_s > constants::reach_window_s) {
+    reach_.pop_front();
+    ++beats;
+  }
+  // Only a full window counts.
+  if (beats == 0 || reach_.empty() || settings_.siblings.empty() || !dispatcher_.ready()) return;
+  Reach sum;
+  for (const auto& each : reach_) {
+    sum.heard += each.heard;
+    sum.sent_away_elsewhere += each.sent_away_elsewhere;
+  }
+  const bool siblings_heard =
+      std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
+        return runtime_.wall_s() - each.second.sent_wall_s < constants::peer_fresh_s;
+      });
+  const bool away = sum.sent_away_elsewhere >= constants::reach_least_machines &&
+                    sum.sent_away_elsewhere > sum.heard * constants::resign_ratio;
+  const bool silence = !siblings_heard && sum.heard == 0 &&
+                       dispatcher_.live_machines() >= constants::reach_least_machines;
+  if (!away && !silence) return;
+  reach_.clear();
+  leadership_.resign(away ? "workers reach our siblings and not us" : "no worker reaches us",
+                     constants::stand_aside_s);
+}
+
 double Node::sent_steady_s(const protocol::PeerStatus& status) const {
   const double age = runtime_.wall_s() - status.sent_wall_s;
   return runtime_.now_s() - std::max(0.0, age) - 2 * settings_.clock_bound_s;
@@ -146,10 +188,13 @@
     return respond({400, protocol::encode_error(problem.what())});
   }
   if (leadership_.leading()) {
+    ++reach_now_.heard;
     if (runtime_.now_s() > answer_until_s())
       return respond({503, protocol::encode_error("cut off from the state service")});
     return dispatcher_.report(report, respond);
   }
+  ++reach_now_.sent_away;
+  leadership_.run_again();
   const auto& leader = directory_.leader();
   const bool elsewhere = leader && leader->record.name != settings_.name;
   respond({421, protocol::encode_redirect(elsewhere ? leader->record.name : "")});
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -1,6 +1,7 @@
 // One controller: wires the parts together and routes requests.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 
@@ -33,6 +34,7 @@
   void beat();
   void heard(const std::string& frame);
   void report(const std::string& body, const transport::Respond& respond);
+  void judge_reach();
   bool takes_requests() const;
   // Steady time until which a leader may answer workers without new word from the state service.
   double answer_until_s() const;
@@ -51,6 +53,13 @@
   UserDesk users_;
   std::map<std::string, protocol::PeerStatus> siblings_;
   std::map<std::string, TaskCounts> told_counts_;  // by the leader
+  // Reports since the last beat: that came to us as leader, that we redirected, that siblings did.
+  struct Reach {
+    double at_s = 0;
+    std::uint64_t heard = 0, sent_away = 0, sent_away_elsewhere = 0;
+  };
+  Reach reach_now_;
+  std::deque<Reach> reach_;  // of the last beats
 };
 
 }  // namespace poppystile::coordination
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -16,8 +16,8 @@
 };
 using Item = std::unique_ptr<cbor_item_t, Release>;
 
-constexpr std::size_t status_fields = 8;  // the version, five values, counts, cancellations
-constexpr std::uint64_t version = 2;
+constexpr std::size_t status_fields = 9;  // the version, six values, counts, cancellations
+constexpr std::uint64_t version = 3;
 
 void push(cbor_item_t* array, cbor_item_t* value) {
   Item owned(value);
@@ -101,6 +101,7 @@
   push(root.get(), cbor_build_uint64(status.leading ? 1 : 0));
   push(root.get(), cbor_build_float8(status.sent_wall_s));
   push(root.get(), cbor_build_float8(status.state_wall_s));
+  push(root.get(), cbor_build_uint64(status.sent_away));
   cbor_item_t* counts = cbor_new_definite_array(status.counts.size() * 3);
   for (const auto& each : status.counts) {
     push(counts, text(each.job));
@@ -131,6 +132,7 @@
   out.leading = reader.number() == 1;
   out.sent_wall_s = reader.real();
   out.state_wall_s = reader.real();
+  out.sent_away = reader.number();
   Item list = reader.next();
   Reader counts(list.get());
   if (!reader.good() || !counts.good() || counts.size() % 3 != 0) return std::nullopt;
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -20,6 +20,7 @@
   bool leading = false;
   double sent_wall_s = 0;              // when this was said, by the time of day
   double state_wall_s = 0;             // when the state service last answered the sender
+  std::uint64_t sent_away = 0;         // workers' reports redirected since the frame before
   std::vector<JobCounts> counts;       // only a leader's
   std::vector<std::string> cancelled;  // jobs whose cancellation it has accepted of late
 };
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -142,12 +142,14 @@
 }
 
 TEST(Peers, RoundTripAndGarbage) {
-  const protocol::PeerStatus status{"stile-1", 9, true, 1.7e9, 1.6e9, {{"req-1", 5, 6}}, {"req-7"}};
+  const protocol::PeerStatus status{"stile-1",         9,        true, 1.7e9, 1.6e9, 12,
+                                    {{"req-1", 5, 6}}, {"req-7"}};
   const std::string frame = protocol::encode_peer_status(status);
   const auto again = protocol::decode_peer_status(frame);
   ASSERT_TRUE(again.has_value());
   EXPECT_EQ(again->counts.at(0).running, 6u);
   EXPECT_EQ(again->sent_wall_s, 1.7e9);
+  EXPECT_EQ(again->sent_away, 12u);
   EXPECT_EQ(again->cancelled.at(0), "req-7");
   EXPECT_FALSE(protocol::decode_peer_status("").has_value());
   EXPECT_FALSE(protocol::decode_peer_status("\x81\x01").has_value());
@@ -166,7 +168,7 @@
 // Fuzz-like, with a fixed seed: broken input raises DecodeError or gives a value, nothing else.
 TEST(Decoders, SurviveBrokenInput) {
   const std::string frame =
-      protocol::encode_peer_status({"s", 1, true, 2, 3, {{"j", 4, 5}}, {"k"}});
+      protocol::encode_peer_status({"s", 1, true, 2, 3, 4, {{"j", 4, 5}}, {"k"}});
   const std::string machine_list =
       R"({"stiles":[{"id":"n-1","build":"g8","yard":"a","loaners":true,"stage":"running","held_s":6}],"more":false})";
   const std::string segment =
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -238,6 +238,14 @@
       const int node = world_->pick_node(line.text("node", "leader"));
       world_->cut(node, cut);
       queue.after(for_s, [this, node] { world_->heal(node); });
+    } else if (what == "freeze") {
+      world_->freeze(world_->pick_node(line.text("node", "leader")), for_s);
+    } else if (what == "freeze_winner") {
+      world_->freeze_next_winner(for_s);
+    } else if (what == "repeats") {
+      const double most = line.number_of("most", 40);
+      world_->repeat_calls(line.number_of("share", 0.2), line.number_of("least", 0.5), most, for_s);
+      world_->rules().troubles_until(queue.now() + for_s + most);
     } else if (what == "crash_winner") {
       world_->crash_next_winner(line.number_of("back", 0.2));
     } else if (what == "cut_winner") {
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -30,11 +30,18 @@
   void after(double delay, std::function<void()> action) override {
     std::weak_ptr<int> mine = life;
     world.queue_.after(std::max(0.0, delay) / clock_rate + 0.0005,
-                       [mine, action = std::move(action)] {
-                         if (!mine.expired()) action();
+                       [this, mine, action = std::move(action)] {
+                         if (mine.expired()) return;
+                         frozen ? late_timers.push_back(action) : action();
                        });
   }
 
+  // Runs what has come in for this life of the process: at once, or when it wakes.
+  void arrive(std::function<void()> action) {
+    if (frozen) return late_arrivals.push_back(std::move(action));
+    action();
+  }
+
   void call(const Endpoint& to, HttpRequest request, double timeout_s,
             std::function<void(HttpResponse)> done) override {
     std::weak_ptr<int> mine = life;
@@ -43,7 +50,11 @@
       if (mine.expired() || std::exchange(*settled, true)) return;
       done(std::move(response));
     };
-    world.queue_.after(timeout_s, [settle] { settle({}); });
+    const auto answered = [this, mine, settle](HttpResponse response) {
+      if (!mine.expired()) arrive([settle, response] { settle(response); });
+    };
+    // A timer, and so before any answer that waits when a node wakes.
+    after(timeout_s, [settle] { settle({}); });
     const bool state = to == state_endpoint;
     if (state && cut.state) {
       // Held packets arrive when the cut ends, though the sender has given up by then.
@@ -51,29 +62,40 @@
       return;
     }
     const double there = world.queue_.chance(0.01) ? 0.3 : world.queue_.uniform(0.001, 0.004);
-    world.queue_.after(there, [this, state, request, settle] {
-      const auto reply = [this, state, settle](HttpResponse response) {
+    world.queue_.after(there, [this, state, request, answered] {
+      const auto reply = [this, state, answered](HttpResponse response) {
         // Nothing crosses a cut, answers to calls made before it included.
         if (state && cut.state) return;
         if (state && world.queue_.chance(world.settings_.lose_answers)) return;
         world.queue_.after(world.queue_.uniform(0.001, 0.004),
-                           [settle, response] { settle(response); });
+                           [answered, response] { answered(response); });
       };
-      if (state) {
-        world.state_->handle(request, reply);
-      } else {
-        world.cloud_->handle(request, reply);
-      }
+      carry_out(state, request, reply);
+      if (!world.queue_.chance(world.repeat_share_)) return;
+      // Whoever carried it out may be asked the same once more, much later.
+      world.queue_.after(world.queue_.uniform(world.repeat_least_s_, world.repeat_most_s_),
+                         [this, state, request] { carry_out(state, request, [](auto) {}); });
     });
   }
 
+  void carry_out(bool state, const HttpRequest& request,
+                 std::function<void(HttpResponse)> reply) const {
+    if (state) {
+      world.state_->handle(request, std::move(reply));
+    } else {
+      world.cloud_->handle(request, std::move(reply));
+    }
+  }
+
   void broadcast(const std::string& frame) override {
     if (cut.peers) return;
     for (auto& other : world.controllers_) {
       if (other.get() == this || other->cut.peers) continue;
       Controller* to = other.get();
       world.queue_.after(0.002, [to, frame] {
-        if (to->node && to->on_peer) to->on_peer(frame);
+        to->arrive([to, frame] {
+          if (to->node && to->on_peer) to->on_peer(frame);
+        });
       });
     }
   }
@@ -88,6 +110,9 @@
   double wall_off = 0;
   Cut cut;
   std::vector<std::function<void()>> held;
+  // The process stands still while its clocks go on: what is due or comes in waits.
+  bool frozen = false;
+  std::vector<std::function<void()>> late_timers, late_arrivals;
   protocol::Settings settings;
   protocol::Properties properties;
   std::shared_ptr<int> life;
@@ -189,9 +214,12 @@
     }
     queue_.after(queue_.uniform(0.0005, 0.003), [this, to, body, reply] {
       if (!to->node) return reply({0, ""});
-      to->node->handle({"POST", "/agent/beat", body}, [this, to, reply](HttpResponse response) {
-        if (to->cut.workers) return;
-        queue_.after(queue_.uniform(0.0005, 0.003), [reply, response] { reply(response); });
+      to->arrive([this, to, body, reply] {
+        if (!to->node) return;
+        to->node->handle({"POST", "/agent/beat", body}, [this, to, reply](HttpResponse response) {
+          if (to->cut.workers) return;
+          queue_.after(queue_.uniform(0.0005, 0.003), [reply, response] { reply(response); });
+        });
       });
     });
   }
@@ -211,8 +239,20 @@
   queue_.after(method == "GET" ? poll_patience_s : user_patience_s, [settle] { settle({}); });
   queue_.after(0.002, [this, to, method, target, body, settle] {
     if (!to->node) return settle({});
-    to->node->handle({method, target, body}, [this, settle](HttpResponse response) {
-      queue_.after(0.002, [settle, response] { settle(response); });
+    to->arrive([this, to, method, target, body, settle] {
+      if (!to->node) return;
+      to->node->handle({method, target, body}, [this, settle](HttpResponse response) {
+        queue_.after(0.002, [settle, response] { settle(response); });
+      });
+    });
+    if (method == "GET" || !queue_.chance(repeat_share_)) return;
+    // Submissions and cancellations that were carried out come once more, at any node.
+    queue_.after(queue_.uniform(repeat_least_s_, repeat_most_s_), [this, method, target, body] {
+      Controller& other = *controllers_[static_cast<std::size_t>(
+          queue_.uniform(0, static_cast<double>(controllers_.size())))];
+      other.arrive([&other, method, target, body] {
+        if (other.node) other.node->handle({method, target, body}, [](auto) {});
+      });
     });
   });
 }
@@ -295,6 +335,9 @@
   Controller& self = *controllers_[static_cast<std::size_t>(number)];
   if (!self.node) return;
   self.life.reset();
+  self.frozen = false;
+  self.late_timers.clear();
+  self.late_arrivals.clear();
   self.on_peer = nullptr;
   self.node.reset();
   queue_.after(back_after_s, [this, number] { boot(number); });
@@ -310,6 +353,26 @@
   for (auto& each : std::exchange(self.held, {})) each();
 }
 
+void World::freeze(int number, double for_s) {
+  Controller& self = *controllers_[static_cast<std::size_t>(number)];
+  if (!self.node || std::exchange(self.frozen, true)) return;
+  queue_.after(for_s, [&self, life = std::weak_ptr<int>(self.life)] {
+    if (life.expired()) return;
+    self.frozen = false;
+    // Timers that are due come before anything that is read.
+    for (auto& each : std::exchange(self.late_timers, {})) each();
+    for (auto& each : std::exchange(self.late_arrivals, {}))
+      if (!life.expired()) each();
+  });
+}
+
+void World::repeat_calls(double share, double least_s, double most_s, double for_s) {
+  repeat_share_ = share;
+  repeat_least_s_ = least_s;
+  repeat_most_s_ = most_s;
+  queue_.after(for_s, [this] { repeat_share_ = 0; });
+}
+
 std::vector<Worker*> World::some_workers(int count) {
   std::vector<Worker*> out;
   for (auto& [id, each] : workers_) out.push_back(each.get());
@@ -378,6 +441,12 @@
         crash(each->number, std::exchange(crash_winner_, -1));
         break;
       }
+  if (freeze_winner_s_ >= 0)
+    for (auto& each : controllers_)
+      if (each->node && !each->frozen && each->node->leads()) {
+        freeze(each->number, std::exchange(freeze_winner_s_, -1));
+        break;
+      }
   if (cut_winner_s_ >= 0)
     for (auto& each : controllers_)
       if (each->node && each->node->leads()) {
@@ -387,7 +456,8 @@
         break;
       }
   // Closely enough to find a winner that has not read the journal yet.
-  queue_.after(crash_winner_ >= 0 || cut_winner_s_ >= 0 ? 0.001 : 0.5, [this] { sweep(); });
+  const bool closely = crash_winner_ >= 0 || cut_winner_s_ >= 0 || freeze_winner_s_ >= 0;
+  queue_.after(closely ? 0.001 : 0.5, [this] { sweep(); });
 }
 
 }  // namespace poppystile::world
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -65,10 +65,16 @@
   void deafen_machines(int count, double for_s);
   // Copies of some reports arrive once more, this much later, at any node.
   void copy_reports(double share, double least_s, double most_s, double for_s);
+  // The process stands still; its clocks go on, and what comes in waits.
+  void freeze(int node, double for_s);
+  // Calls that were carried out, users' and the nodes' own, are carried out once more.
+  void repeat_calls(double share, double least_s, double most_s, double for_s);
   // The next time that somebody wins an election, it crashes at once.
   void crash_next_winner(double back_after_s) { crash_winner_ = back_after_s; }
   // The same, but it is cut off before it has read what its predecessors wrote.
   void cut_next_winner(const Cut& cut, double for_s);
+  // The same, but it stands still.
+  void freeze_next_winner(double for_s) { freeze_winner_s_ = for_s; }
 
   std::size_t accepted() const { return rules_.accepted_jobs(); }
   std::uint64_t state_refused() const { return state_->refused(); }
@@ -102,6 +108,8 @@
   std::set<std::string> deaf_;  // machines
   double copy_share_ = 0, copy_least_s_ = 0, copy_most_s_ = 0;
   double crash_winner_ = -1;
+  double repeat_share_ = 0, repeat_least_s_ = 0, repeat_most_s_ = 0;
+  double freeze_winner_s_ = -1;
   double cut_winner_s_ = -1;
   Cut winners_cut_;
   std::uint64_t lapses_gone_ = 0;
