A leader whose grant may have run out asks nothing of the cloud

Neither cloud nor worker checks who releases a machine: one that had stood still released, on waking, machines that its successor had in use.

--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -92,7 +92,9 @@
 }
 
 void CloudDesk::pass() {
-  if (model_ == nullptr) return;
+  // Neither the cloud nor the worker asks who releases a machine: one that stood still, or lost the
+  // state service, may have a successor that has given the machine new work.
+  if (model_ == nullptr || !leadership_.grant_holds()) return;
   const double now = runtime_.now_s();
   if (!catalog_busy_ && (catalog_s_ == 0 || now - catalog_s_ > catalog_every_s) && affordable())
     fetch_catalog();
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -26,6 +26,11 @@
 
 protocol::Condition Leadership::fence() const { return {keys::leader, version_}; }
 
+bool Leadership::grant_holds() const {
+  return leading_ && runtime_.now_s() - confirmed_s_ <
+                         constants::grant_ttl_ms / 1000.0 * (1 - constants::clock_drift);
+}
+
 void Leadership::start() { tick(); }
 
 void Leadership::tick() {
--- a/src/coordination/leadership.hpp
+++ b/src/coordination/leadership.hpp
@@ -22,6 +22,8 @@
   protocol::Condition fence() const;
   // Steady time at which the newest confirmed renewal was sent.
   double confirmed_s() const { return confirmed_s_; }
+  // Whether the grant cannot have run out yet, so that nobody else can lead.
+  bool grant_holds() const;
   // Steady time at which the election was asked for that this node won.
   double won_s() const { return won_s_; }
   void step_down(const std::string& why);
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -10,8 +10,8 @@
 //                                 memory, images, gb, spot, one_zone, spread, zone, deadline
 //   at SECONDS ACTION KEY=VALUE...
 //   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
-//                                 state_requests, state_changes, lapses, machine_seconds; OP is >=
-//                                 or <=
+//                                 state_requests, state_changes, lapses, stale_releases,
+//                                 machine_seconds; OP is >= or <=
 // Once the last trouble is over, every accepted job must get answers again; and no class, team or
 // class's largest jobs may be left out.
 #include <spdlog/sinks/stdout_sinks.h>
@@ -296,6 +296,8 @@
       found = static_cast<double>(world_->state_changes());
     else if (name == "lapses")
       found = static_cast<double>(world_->lapses());
+    else if (name == "stale_releases")
+      found = static_cast<double>(world_->stale_releases());
     else if (name == "machine_seconds")
       found = world_->cloud().machine_seconds();
     else if (name.starts_with("on:"))
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -56,6 +56,7 @@
     // A timer, and so before any answer that waits when a node wakes.
     after(timeout_s, [settle] { settle({}); });
     const bool state = to == state_endpoint;
+    if (!state && request.target == protocol::release_path && superseded()) ++world.stale_releases_;
     if (state && cut.state) {
       // Held packets arrive when the cut ends, though the sender has given up by then.
       if (cut.hold) held.push_back([this, request] { world.state_->handle(request, [](auto) {}); });
@@ -78,6 +79,13 @@
     });
   }
 
+  // Whether somebody leads under a higher token.
+  bool superseded() const {
+    return std::any_of(world.controllers_.begin(), world.controllers_.end(), [&](const auto& each) {
+      return each->node && each->node->leads() && each->node->token() > node->token();
+    });
+  }
+
   void carry_out(bool state, const HttpRequest& request,
                  std::function<void(HttpResponse)> reply) const {
     if (state) {
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -80,6 +80,8 @@
   std::uint64_t state_refused() const { return state_->refused(); }
   std::uint64_t state_requests() const { return state_->requests(); }
   std::uint64_t state_changes() const { return state_->changes(); }
+  // Releases asked for by a node while another led under a higher token.
+  std::uint64_t stale_releases() const { return stale_releases_; }
   std::uint64_t lapses() const;  // leases that ended on machines that were neither hung nor deaf
 
  private:
@@ -113,6 +115,7 @@
   double cut_winner_s_ = -1;
   Cut winners_cut_;
   std::uint64_t lapses_gone_ = 0;
+  std::uint64_t stale_releases_ = 0;
 };
 
 }  // namespace poppystile::world
