--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -54,7 +54,7 @@
   coordination::Node node(loop, client, peers, settings, properties, std::random_device{}());
   const auto sockets = static_cast<std::size_t>(settings.sockets * constants::server_socket_share);
   transport::HttpServer server(
-      loop, settings.listen, sockets,
+      loop, settings.listen, sockets, coordination::Node::is_vital,
       [&](const transport::HttpRequest& request, transport::Respond respond) {
         node.handle(request, std::move(respond));
       });
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -200,6 +200,10 @@
   respond({421, protocol::encode_redirect(elsewhere ? leader->record.name : "")});
 }
 
+bool Node::is_vital(const HttpRequest& request) {
+  return protocol::parse_path(request.target).what == UserPath::What::report;
+}
+
 void Node::handle(const HttpRequest& request, Respond respond) {
   using What = UserPath::What;
   const UserPath path = protocol::parse_path(request.target);
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -28,7 +28,11 @@
        std::uint64_t seed);
   void start();
   void handle(const transport::HttpRequest& request, transport::Respond respond);
+  // Whether the request is a worker's report: leases hang on those.
+  static bool is_vital(const transport::HttpRequest& request);
   bool leads() const { return leadership_.leading(); }
+  // Of its newest election.
+  std::uint64_t token() const { return leadership_.token(); }
 
  private:
   void beat();
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 #include <spdlog/spdlog.h>
 
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -16,6 +17,7 @@
     ++server_.open_;
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
+    place_ = server_.ordinary_.insert(server_.ordinary_.end(), this);
   }
   ~Connection() { --server_.open_; }
 
@@ -72,6 +74,9 @@
                         std::move(target_), std::move(body_)};
     target_.clear();
     body_.clear();
+    if (server_.vital_(request)) leave_ordinary();
+    // Just heard, so not the longest silent any more.
+    if (place_) server_.ordinary_.splice(server_.ordinary_.end(), server_.ordinary_, *place_);
     if (std::exchange(too_large_, false)) {
       return reply({400, R"({"error":"body over 64 KiB"})"}, keep);
     }
@@ -81,6 +86,11 @@
     });
   }
 
+  void leave_ordinary() {
+    if (place_) server_.ordinary_.erase(*place_);
+    place_.reset();
+  }
+
   void reply(HttpResponse response, bool keep) {
     if (closing_) return;
     auto write = std::make_unique<Write>();
@@ -111,6 +121,7 @@
 
   void close() {
     if (std::exchange(closing_, true)) return;
+    leave_ordinary();
     handles_ = 2;
     const auto closed = [](uv_handle_t* handle) {
       auto* self = static_cast<Connection*>(handle->data);
@@ -155,6 +166,7 @@
   std::string target_;
   std::string body_;
   bool too_large_ = false;
+  std::optional<std::list<Connection*>::iterator> place_;  // among the ordinary ones
   bool closing_ = false;
   bool close_after_write_ = false;
   int handles_ = 0;
@@ -162,15 +174,19 @@
 };
 
 HttpServer::HttpServer(EventLoop& loop, const Endpoint& listen, std::size_t max_connections,
-                       HttpHandler handler)
-    : loop_(loop), handler_(std::move(handler)), max_connections_(max_connections) {
+                       std::function<bool(const HttpRequest&)> vital, HttpHandler handler)
+    : loop_(loop),
+      vital_(std::move(vital)),
+      handler_(std::move(handler)),
+      max_connections_(max_connections) {
   uv_tcp_init(loop.raw(), &listener_);
   listener_.data = this;
   sockaddr_in address{};
   uv_ip4_addr(listen.host.c_str(), listen.port, &address);
   int rc = uv_tcp_bind(&listener_, reinterpret_cast<const sockaddr*>(&address), 0);
   if (rc == 0)
-    rc = uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), 256,
+    // After the loss of all siblings everybody may knock within a second.
+    rc = uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), static_cast<int>(max_connections_),
                    [](uv_stream_t* stream, int status) {
                      if (status == 0) static_cast<HttpServer*>(stream->data)->accept();
                    });
@@ -183,11 +199,12 @@
 
 void HttpServer::accept() {
   auto connection = std::make_shared<Connection>(*this);
-  // Over the budget the connection is taken and closed: left in the queue it would hang its peer.
+  // Over the budget a connection is taken and closed: left in the queue it would hang its peer. The
+  // newcomer may be a worker, whose lease hangs on it, so it goes only if there is no other.
   const bool fits = open_ <= max_connections_;
   if (connection->open() && !fits) {
-    spdlog::debug("connection refused open={} most={}", open_, max_connections_);
-    connection->shed();
+    spdlog::debug("connection shed open={} most={}", open_, max_connections_);
+    ordinary_.front()->shed();
   }
 }
 
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <list>
 #include <memory>
 
 #include "transport/event_loop.hpp"
@@ -11,10 +12,12 @@
 
 using HttpHandler = std::function<void(const HttpRequest&, Respond)>;
 
+// Incoming connections are bounded. Over the budget those go first that have carried no vital
+// request, the longest silent of them before the others.
 class HttpServer {
  public:
   HttpServer(EventLoop& loop, const Endpoint& listen, std::size_t max_connections,
-             HttpHandler handler);
+             std::function<bool(const HttpRequest&)> vital, HttpHandler handler);
   ~HttpServer();
 
  private:
@@ -22,9 +25,11 @@
   void accept();
 
   EventLoop& loop_;
+  std::function<bool(const HttpRequest&)> vital_;
   HttpHandler handler_;
   std::size_t max_connections_;
   std::size_t open_ = 0;
+  std::list<Connection*> ordinary_;  // the longest silent first
   uv_tcp_t listener_{};
 };
 
