Settings that cannot work are refused; constants that were private to a file join the others

Leases that outlast a cancellation, reports as rare as leases, fewer sockets than a controller needs, no memory or processor: one line and status 2.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -60,6 +60,11 @@
       });
   spdlog::info("started name={} zone={} listen={}:{}", settings.name, settings.zone,
                settings.listen.host, settings.listen.port);
+  if (settings.cancel_s <= settings.lease_s + 3 * constants::lease_margin_s)
+    spdlog::warn(
+        "cancel_s={} leaves no time beyond lease_s={}: a leader cut off from the state service "
+        "falls silent at once",
+        settings.cancel_s, settings.lease_s);
   node.start();
   loop.run();
   return EXIT_SUCCESS;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -17,18 +17,30 @@
 inline constexpr double server_idle_s = 75.0;
 // share of the socket limit that incoming connections may use; the rest is for our own calls.
 inline constexpr double server_socket_share = 0.75;
+// sockets a controller needs for itself: two listeners, and to each of the cloud and the state
+// service one at least besides the one that a watch holds.
+inline constexpr std::size_t least_own_sockets = 8;
 // connections per remote service; enough to hide latency, far below any socket limit.
 inline constexpr std::size_t client_connections = 24;
 // waiting calls per remote service before new ones are refused at once.
 inline constexpr std::size_t client_backlog = 512;
-// bytes; a frame between siblings holds a short status, anything larger is garbage.
+// bytes; a frame between siblings holds a status with at most `most_told_jobs` jobs of some 60
+// bytes and the cancellations of two minutes; anything larger is garbage.
 inline constexpr std::size_t max_peer_frame_bytes = 256 * 1024;
+// incoming connections of siblings: a handful, some of them half dead.
+inline constexpr int most_peer_connections = 16;
 
 // --- log ---
 // a line equal to the one before it is only counted for this long: enough to hold back a flood.
 inline constexpr std::chrono::seconds log_repeat_window{5};
 
 // --- state service ---
+// seconds without an answer of the state service after which a node counts as cut off from it:
+// longer than a call may take.
+inline constexpr double contact_stale_s = 3.0;
+// seconds before a user's change that was refused for its rate is offered again: a twentieth of a
+// second's rate is back by then.
+inline constexpr double throttle_pause_s = 0.05;
 // seconds; answers usually take 10 ms and now and then a few hundred.
 inline constexpr double state_timeout_s = 2.0;
 // seconds; how long a watch is held open, and the slack before it counts as stuck.
@@ -54,6 +66,8 @@
 // milliseconds; life of the leader's grant: long enough to ride out lost packets and slow
 // answers, short enough that workers' leases outlast a takeover.
 inline constexpr int grant_ttl_ms = 4000;
+// seconds between looks at the grant; far below its life.
+inline constexpr double leadership_tick_s = 0.1;
 // seconds between renewals; three tries fit in the grant's life.
 inline constexpr double grant_renew_s = 1.0;
 // seconds; a call that renews must answer within this to count.
@@ -62,6 +76,8 @@
 inline constexpr double clock_drift = 0.001;
 // seconds; allowance for late timers and packets wherever a lease is waited out.
 inline constexpr double lease_margin_s = 1.0;
+// jobs whose counts one status frame tells; the counts are for display only.
+inline constexpr std::size_t most_told_jobs = 3000;
 // seconds between status frames to siblings.
 inline constexpr double peer_beat_s = 1.0;
 // seconds that a node goes on telling its siblings which cancellations it has accepted: far longer
@@ -177,6 +193,8 @@
 inline constexpr double pack_worth_reports = 1.0;
 // the same for a zone that has none of the class's replicas instead of one that has all.
 inline constexpr double zone_worth_reports = 2.0;
+// units; sums of fractions must not fall short of a bound.
+inline constexpr double bound_slack_units = 1e-9;
 // rounds after which a bound that places nothing more is given up.
 inline constexpr int max_bound_rounds = 400;
 
@@ -205,6 +223,12 @@
 // seconds; first and longest pause before a failed task is tried again.
 inline constexpr double retry_first_s = 1.0;
 inline constexpr double retry_most_s = 60.0;
+// seconds between looks at types and prices; prices move slowly.
+inline constexpr double catalog_every_s = 60.0;
+// seconds before a rental without an answer is asked for again.
+inline constexpr double hire_again_s = 2.0;
+// names; PROTOCOL's bound on one release.
+inline constexpr std::size_t most_released = 100;
 // seconds between machine lists.
 inline constexpr double list_every_s = 5.0;
 // seconds; first and longest pause before a type and zone that had no capacity is asked again. It
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -14,12 +14,6 @@
 using protocol::MachineType;
 using transport::HttpResponse;
 
-namespace {
-constexpr double catalog_every_s = 60;  // seconds; prices move slowly
-constexpr double ask_again_s = 2;       // seconds before an unanswered rental is asked for again
-constexpr std::size_t most_released = 100;  // names; PROTOCOL's bound on one release
-}  // namespace
-
 CloudDesk::CloudDesk(transport::Runtime& runtime, transport::HttpCaller& http, StateStore& store,
                      Directory& directory, Leadership& leadership, JournalDesk& journal,
                      const protocol::Settings& settings, const protocol::Properties& properties)
@@ -96,7 +90,8 @@
   // state service, may have a successor that has given the machine new work.
   if (model_ == nullptr || !leadership_.grant_holds()) return;
   const double now = runtime_.now_s();
-  if (!catalog_busy_ && (catalog_s_ == 0 || now - catalog_s_ > catalog_every_s) && affordable())
+  if (!catalog_busy_ && (catalog_s_ == 0 || now - catalog_s_ > constants::catalog_every_s) &&
+      affordable())
     fetch_catalog();
   if (types_.empty()) return;
   for (auto& [name, hire] : hires_)
@@ -154,7 +149,7 @@
          if (it == hires_.end()) return;
          Hire& asked = it->second;
          asked.asking = false;
-         asked.ask_at_s = runtime_.now_s() + ask_again_s;
+         asked.ask_at_s = runtime_.now_s() + constants::hire_again_s;
          if (response.status == 200) return hired(name, response.body);
          const bool refused =
              response.status == 400 ||
@@ -298,7 +293,7 @@
   std::vector<std::string> batch;
   for (const auto& id : to_release_) {
     batch.push_back(id);
-    if (batch.size() == most_released) break;
+    if (batch.size() == constants::most_released) break;
   }
   release(batch);
 }
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -10,10 +10,6 @@
 
 namespace keys = bookkeeping::keys;
 
-namespace {
-constexpr double tick_s = 0.1;  // seconds; far below a grant's life
-}
-
 Leadership::Leadership(transport::Runtime& runtime, StateStore& store, Directory& directory,
                        std::string name, std::uint64_t seed)
     : runtime_(runtime),
@@ -35,7 +31,7 @@
 
 void Leadership::tick() {
   std::uniform_real_distribution<double> jitter(0.8, 1.2);
-  runtime_.after(tick_s * jitter(random_), [this] { tick(); });
+  runtime_.after(constants::leadership_tick_s * jitter(random_), [this] { tick(); });
   if (leading_) {
     if (!renewing_ && runtime_.now_s() - renewed_s_ >= constants::grant_renew_s) renew();
   } else {
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -12,11 +12,6 @@
 using transport::HttpRequest;
 using transport::Respond;
 
-namespace {
-constexpr std::size_t most_told_jobs = 3000;  // jobs whose counts fit well into one peer frame
-constexpr double contact_stale_s = 3;         // seconds without an answer that count as cut off
-}  // namespace
-
 Node::Node(transport::Runtime& runtime, transport::HttpCaller& http, transport::PeerNet& peers,
            const protocol::Settings& settings, const protocol::Properties& properties,
            std::uint64_t seed)
@@ -63,7 +58,7 @@
   status.sent_away = reach_now_.sent_away;
   judge_reach();
   if (status.leading)
-    for (const auto& id : dispatcher_.job_ids(most_told_jobs)) {
+    for (const auto& id : dispatcher_.job_ids(constants::most_told_jobs)) {
       const TaskCounts counts = dispatcher_.counts(id);
       if (counts.done + counts.running > 0)
         status.counts.push_back({id, counts.done, counts.running});
@@ -159,8 +154,9 @@
   for (const auto& sibling : settings_.siblings) {
     const auto found = siblings_.find(sibling.name);
     // Longer than a call may take: whatever was asked for before has been answered or given up.
-    const bool silent = found != siblings_.end() &&
-                        found->second.state_wall_s + contact_stale_s < found->second.sent_wall_s;
+    const bool silent =
+        found != siblings_.end() &&
+        found->second.state_wall_s + constants::contact_stale_s < found->second.sent_wall_s;
     known_until = std::min(known_until,
                            silent ? std::max(confirmed, sent_steady_s(found->second)) : confirmed);
   }
@@ -171,11 +167,11 @@
 
 bool Node::takes_requests() const {
   if (!directory_.loaded()) return false;
-  if (runtime_.now_s() - store_.last_contact_s() < contact_stale_s) return true;
+  if (runtime_.now_s() - store_.last_contact_s() < constants::contact_stale_s) return true;
   // In an outage all nodes are alike, and being marked unhealthy would outlast it. A node that
   // alone is cut off should be passed over.
   return std::none_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
-    return runtime_.wall_s() - each.second.state_wall_s < contact_stale_s;
+    return runtime_.wall_s() - each.second.state_wall_s < constants::contact_stale_s;
   });
 }
 
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-constexpr double throttle_pause_s = 0.05;  // seconds; a tenth of a second's rate is back by then
-
 HttpResponse later() {
   return {503, protocol::encode_error("state service not reached, come back"),
           constants::retry_after_s};
@@ -235,9 +233,9 @@
             });
           case Outcome::throttled:
             if (!patient(since_s)) return respond(later());
-            runtime_.after(throttle_pause_s, [this, spec = record.spec, since_s, respond] {
-              accept(spec, since_s, respond);
-            });
+            runtime_.after(
+                constants::throttle_pause_s,
+                [this, spec = record.spec, since_s, respond] { accept(spec, since_s, respond); });
             return;
           default:
             return respond(later());
@@ -289,7 +287,7 @@
                     if (result.outcome == Outcome::conflict) return read_again(id, again);
                     if (result.outcome != Outcome::throttled || !patient(since_s))
                       return respond(later());
-                    runtime_.after(throttle_pause_s, [this, id, since_s, respond] {
+                    runtime_.after(constants::throttle_pause_s, [this, id, since_s, respond] {
                       mark_cancelled(id, since_s, respond);
                     });
                   });
--- a/src/planning/labl.cpp
+++ b/src/planning/labl.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr double slack = 1e-9;  // units; sums of fractions must not fall short of a bound
-
 double mean_unit(const LablJob& job) {
   double sum = 0;
   int servers = 0;
@@ -74,7 +72,8 @@
     for (int round = 0; left_ > 0 && round < constants::max_bound_rounds; ++round) {
       const std::uint64_t before = left_;
       fill_nearly_full();
-      if (plan_.bound <= plan_.start_bound + weights_.offset * unit_ + slack) place_remote();
+      if (plan_.bound <= plan_.start_bound + weights_.offset * unit_ + constants::bound_slack_units)
+        place_remote();
       place_on_holders();
       if (left_ > 0 && !raise_bound(left_ < before)) break;
     }
@@ -132,7 +131,7 @@
     for (std::size_t j = 0; j < jobs_.size(); ++j) {
       const auto& job = jobs_[j];
       if (job.count == 0 || !job.holder[s] || job.unit[s] <= 0) continue;
-      if (plan_.load[s] + cost(j, s) > plan_.bound + slack) continue;
+      if (plan_.load[s] + cost(j, s) > plan_.bound + constants::bound_slack_units) continue;
       if (!best || holders_[j] < holders_[*best]) best = j;
     }
     return best;
@@ -146,7 +145,7 @@
         const auto holder = least_loaded(j, true);
         if (holder && plan_.load[*holder] < plan_.bound) break;
         const auto s = least_loaded(j, false);
-        if (!s || plan_.load[*s] + cost(j, *s) > plan_.bound + slack) break;
+        if (!s || plan_.load[*s] + cost(j, *s) > plan_.bound + constants::bound_slack_units) break;
         assign(j, *s);
       }
   }
@@ -156,7 +155,7 @@
     for (std::size_t j = 0; j < jobs_.size(); ++j)
       while (jobs_[j].count > 0) {
         const auto s = best_server(j);
-        if (!s || plan_.load[*s] + cost(j, *s) > plan_.bound + slack) break;
+        if (!s || plan_.load[*s] + cost(j, *s) > plan_.bound + constants::bound_slack_units) break;
         assign(j, *s);
       }
   }
@@ -233,9 +232,10 @@
   for (double each : load) {
     room += std::max(0.0, bound - each);
     if (bound - each >= weights.remote * unit)
-      remote_places += std::floor((bound - each) / (weights.remote * unit) + slack);
+      remote_places +=
+          std::floor((bound - each) / (weights.remote * unit) + constants::bound_slack_units);
   }
-  return remote_places >= forced && room + slack >= needed;
+  return remote_places >= forced && room + constants::bound_slack_units >= needed;
 }
 
 }  // namespace
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 
+#include "constants.hpp"
 #include "protocol/json.hpp"
 
 namespace poppystile::protocol {
@@ -63,10 +64,26 @@
   const Json& cloud = need_section(given, "cloud");
   out.cloud_rps = need_positive(cloud, "rps");
   out.list_lag_s = need_amount(cloud, "list_lag_s");
-  out.sockets = need_positive(need_section(given, "machine_limits"), "sockets");
+  const Json& machine = need_section(given, "machine_limits");
+  out.sockets = need_positive(machine, "sockets");
+  for (const char* name : {"core_share", "ram_mb"})
+    if (find(machine, name) != nullptr) need_positive(machine, name);
   out.clock_bound_s = amount_or(given, "time_bound_ms", 100) / 1000;
 }
 
+// What each alone may be and both together can never work with.
+void check_together(const Settings& out) {
+  // A leader that is cut off has to fall silent early enough for leases to end by then.
+  if (out.lease_s >= out.cancel_s)
+    throw DecodeError("lease_s: expected less than cancel_s, got " + std::to_string(out.lease_s));
+  if (out.report_s >= out.lease_s)
+    throw DecodeError("report_s: expected less than lease_s, got " + std::to_string(out.report_s));
+  const auto least = constants::least_own_sockets + 2 * out.siblings.size() + 1;
+  if (out.sockets < static_cast<double>(least))
+    throw DecodeError("sockets: expected at least " + std::to_string(least) +
+                      " for the calls to other services, the siblings and one worker");
+}
+
 // Aims of other kinds are not needed here, nor is the list itself.
 void parse_objectives(const Json& given, Settings& out) {
   if (find(given, "objectives") == nullptr) return;
@@ -96,6 +113,7 @@
   for (const Json& each : need_list(given, "zones")) out.zones.push_back(as_text(each, "zones"));
   for (const Json& each : need_list(given, "teams")) out.teams.push_back(parse_team(each));
   parse_limits(given, out);
+  check_together(out);
   parse_objectives(given, out);
   return out;
 }
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr int most_incoming = 16;  // a handful of siblings, some connections half dead
-
 std::string with_length(const std::string& frame) {
   const auto size = static_cast<std::uint32_t>(frame.size());
   std::string out;
@@ -120,7 +118,7 @@
     self->tcp_.data = self;
     const auto rc = uv_accept(reinterpret_cast<uv_stream_t*>(&link.listener_),
                               reinterpret_cast<uv_stream_t*>(&self->tcp_));
-    if (rc != 0 || link.incoming_ > most_incoming) return self->close();
+    if (rc != 0 || link.incoming_ > constants::most_peer_connections) return self->close();
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&self->tcp_),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
