--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -82,10 +82,11 @@
   bool draining = false;  // takes nothing new, and is given back once it is empty
   bool recalled = false;
   bool quarantined = false;
-  bool late = false;     // reports are overdue
-  bool lost = false;     // silent for longer than its lease
-  bool suspect = false;  // it reports, but our answers seem not to arrive
-  int failures = 0;      // in a row
+  bool late = false;         // reports are overdue
+  bool lost = false;         // silent for longer than its lease
+  bool suspect = false;      // it reports, but our answers seem not to arrive
+  int failures = 0;          // in a row
+  int unheard_sessions = 0;  // in a row, that ended without showing a start that was sent
   std::set<std::string> failed_jobs;
   double avoid_until_s = 0;  // steady
   double suspect_s = 0;      // steady; since when
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -151,6 +151,8 @@
 inline constexpr double tick_s = 0.02;
 // seconds between looks at the leases; fine against leases of several seconds.
 inline constexpr double lease_pass_s = 0.5;
+// seconds after which a worker gives up waiting for an answer (PROTOCOL).
+inline constexpr double worker_patience_s = 4.0;
 // reports missed before a machine counts as late.
 inline constexpr double late_reports = 2.5;
 // seconds a machine is avoided after a failure, doubling.
@@ -158,7 +160,8 @@
 // seconds the answer to a report is kept back when a start for that machine is on its way into the
 // journal: far below the 4 s after which a worker gives up, and below the gap between reports.
 inline constexpr double hold_answer_s = 0.5;
-// starts that the next report does not show before our answers are taken not to arrive.
+// starts that the next report does not show, or sessions that end without showing any, before our
+// answers are taken not to arrive.
 inline constexpr int unheard_starts = 2;
 // leases after which a machine that does not hear us is given back.
 inline constexpr double deaf_leases = 3;
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -363,6 +363,7 @@
       now - machine.suspect_s > lease) {
     spdlog::info("machine hears us again id={}", machine.id);
     machine.suspect = false;
+    machine.unheard_sessions = 0;
   }
   if (machine.confirmed && !machine.suspect) machine.suspect_s = now;
   if (report.notice_s && !std::exchange(machine.recalled, true)) {
@@ -389,10 +390,11 @@
 void Dispatcher::new_session(Machine& machine, std::uint64_t session) {
   const double now = runtime_.now_s();
   if (machine.session != 0) {
+    judge_session(machine);
     // The session's end killed whatever was there.
     end_all(machine, "new session");
-    // Reports that kept coming and were answered, and yet the lease ended.
-    if (machine.confirmed && now - machine.heard_s < settings_.lease_s / 2)
+    if (machine.confirmed &&
+        now - machine.last_answer_s < settings_.lease_s - constants::worker_patience_s)
       suspect(machine, "its lease ended although it was answered");
   }
   machine.session = session;
@@ -400,6 +402,21 @@
   journal_.append(bookkeeping::session_entry(machine.id, session));
 }
 
+// A worker that hears nobody tries one node after the other, so its reports come to us seldom, and
+// its lease ends between two. Starts that session after session does not show tell it from one that
+// hung once.
+void Dispatcher::judge_session(Machine& machine) {
+  const auto any = [&](auto test) {
+    return std::any_of(machine.placements.begin(), machine.placements.end(), test);
+  };
+  if (any([](const Placement& each) { return each.shown != 0; })) {
+    machine.unheard_sessions = 0;
+  } else if (any([](const Placement& each) { return each.sent_session != 0; }) &&
+             ++machine.unheard_sessions >= constants::unheard_starts) {
+    suspect(machine, "starts are not shown before its lease ends");
+  }
+}
+
 // Such a machine's reports arrive, but it may not hear us: it gets no work until it shows that it
 // does. Answering it proves nothing about its lease.
 void Dispatcher::suspect(Machine& machine, const std::string& why) {
@@ -591,7 +608,10 @@
     machine.lost = true;
     plan_due_ = true;
     // Only a worker that has seen our token is sure to have dropped everyone else's answers.
-    if (machine.confirmed) end_all(machine, "lease expired");
+    if (machine.confirmed) {
+      judge_session(machine);
+      end_all(machine, "lease expired");
+    }
     machine.heard = machine.confirmed = false;
   }
   for (const auto& [id, job] : model_.jobs)
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -72,6 +72,7 @@
               protocol::ExitCause cause);
   void failed(bookkeeping::Machine& machine, const bookkeeping::Placement& placement,
               protocol::ExitCause cause);
+  void judge_session(bookkeeping::Machine& machine);
   void suspect(bookkeeping::Machine& machine, const std::string& why);
   void note_image(bookkeeping::Machine& machine, const bookkeeping::Job& job);
   std::vector<protocol::Command> commands_for(bookkeeping::Machine& machine,
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -11,7 +11,7 @@
 //   at SECONDS ACTION KEY=VALUE...
 //   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
 //                                 state_requests, state_changes, lapses, stale_releases,
-//                                 machine_seconds; OP is >= or <=
+//                                 unheard_starts, machine_seconds; OP is >= or <=
 // Once the last trouble is over, every accepted job must get answers again; and no class, team or
 // class's largest jobs may be left out.
 #include <spdlog/sinks/stdout_sinks.h>
@@ -298,6 +298,8 @@
       found = static_cast<double>(world_->lapses());
     else if (name == "stale_releases")
       found = static_cast<double>(world_->stale_releases());
+    else if (name == "unheard_starts")
+      found = static_cast<double>(world_->unheard_starts());
     else if (name == "machine_seconds")
       found = world_->cloud().machine_seconds();
     else if (name.starts_with("on:"))
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -199,7 +199,8 @@
   // What a deaf machine is told is lost on the way; it may hear again before the next answer.
   const auto reply = [this, machine = from.place().machine,
                       answer = std::move(answer)](const HttpResponse& response) {
-    if (!deaf_.contains(machine)) answer(response);
+    if (!deaf_.contains(machine)) return answer(response);
+    if (response.body.find(R"("verb":"start")") != std::string::npos) ++unheard_starts_;
   };
   if (queue_.chance(copy_share_)) {
     Controller* to = controllers_[static_cast<std::size_t>(
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -82,6 +82,8 @@
   std::uint64_t state_changes() const { return state_->changes(); }
   // Releases asked for by a node while another led under a higher token.
   std::uint64_t stale_releases() const { return stale_releases_; }
+  // Answers with starts that deaf machines did not hear.
+  std::uint64_t unheard_starts() const { return unheard_starts_; }
   std::uint64_t lapses() const;  // leases that ended on machines that were neither hung nor deaf
 
  private:
@@ -116,6 +118,7 @@
   Cut winners_cut_;
   std::uint64_t lapses_gone_ = 0;
   std::uint64_t stale_releases_ = 0;
+  std::uint64_t unheard_starts_ = 0;
 };
 
 }  // namespace poppystile::world
