--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -72,6 +72,8 @@
 
 }  // namespace
 
+// What is thrown before there is a log may end the program.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   CLI::App app{"poppystile: a cluster scheduler"};
   std::string config;
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -110,7 +110,7 @@
 
 void CloudDesk::fetch_catalog() {
   catalog_busy_ = true;
-  call({"GET", protocol::catalog_path, ""}, [this](HttpResponse response) {
+  call({"GET", protocol::catalog_path, ""}, [this](const HttpResponse& response) {
     catalog_busy_ = false;
     if (response.status != 200) return;
     try {
@@ -130,7 +130,7 @@
   protocol::Transaction transaction;
   transaction.conditions = {leadership_.fence(), {bookkeeping::keys::catalog, 0}};
   transaction.changes = {{bookkeeping::keys::catalog, value.dump(), 0}};
-  store_.transact(std::move(transaction), Urgency::user, [this, value](TransactionResult result) {
+  store_.transact(transaction, Urgency::user, [this, value](const TransactionResult& result) {
     if (result.outcome == Outcome::ok)
       return directory_.learn(bookkeeping::keys::catalog, value, result.revision);
     catalog_s_ = 0;  // asked for and offered again
@@ -301,7 +301,7 @@
 void CloudDesk::release(const std::vector<std::string>& machines) {
   releasing_ = true;
   call({"POST", protocol::release_path, protocol::encode_release(machines)},
-       [this, machines](HttpResponse response) {
+       [this, machines](const HttpResponse& response) {
          releasing_ = false;
          release_s_ = runtime_.now_s() + (response.status == 200 ? 0 : 1);
          if (response.status != 200) return;
@@ -320,7 +320,7 @@
 
 void CloudDesk::read_list(const std::string& after) {
   listing_ = true;
-  call({"GET", protocol::list_path(after), ""}, [this](HttpResponse response) {
+  call({"GET", protocol::list_path(after), ""}, [this](const HttpResponse& response) {
     listing_ = false;
     list_s_ = runtime_.now_s();
     if (response.status != 200) return;
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -24,40 +24,42 @@
 }
 
 void Directory::load() {
-  store_.list_all(keys::shared, Urgency::user, [this](Outcome outcome, protocol::EntryPage all) {
-    if (outcome != Outcome::ok) {
-      runtime_.after(constants::state_retry_s, [this] { load(); });
-      return;
-    }
-    // After a gap in the watch, what is not listed any more has been deleted meanwhile.
-    std::map<std::string, bool> listed;
-    for (const auto& each : all.entries) listed[each.key] = true;
-    std::vector<std::string> vanished;
-    for (const auto& [id, known] : jobs_)
-      if (!listed.contains(bookkeeping::job_key(id)) && known.version <= all.revision)
-        vanished.push_back(id);
-    for (const auto& each : all.entries) apply(each.key, each.value, each.version);
-    for (const auto& id : vanished) apply_job(id, std::nullopt, all.revision);
-    if (!listed.contains(keys::leader)) apply(keys::leader, std::nullopt, all.revision);
-    if (!loaded_) spdlog::info("directory loaded jobs={} over={}", jobs_.size(), over_.size());
-    loaded_ = true;
-    revision_ = std::max(revision_, all.revision);
-    if (on_leader_) on_leader_();
-    follow(all.revision);
-  });
+  store_.list_all(
+      keys::shared, Urgency::user, [this](Outcome outcome, const protocol::EntryPage& all) {
+        if (outcome != Outcome::ok) {
+          runtime_.after(constants::state_retry_s, [this] { load(); });
+          return;
+        }
+        // After a gap in the watch, what is not listed any more has been deleted meanwhile.
+        std::map<std::string, bool> listed;
+        for (const auto& each : all.entries) listed[each.key] = true;
+        std::vector<std::string> vanished;
+        for (const auto& [id, known] : jobs_)
+          if (!listed.contains(bookkeeping::job_key(id)) && known.version <= all.revision)
+            vanished.push_back(id);
+        for (const auto& each : all.entries) apply(each.key, each.value, each.version);
+        for (const auto& id : vanished) apply_job(id, std::nullopt, all.revision);
+        if (!listed.contains(keys::leader)) apply(keys::leader, std::nullopt, all.revision);
+        if (!loaded_) spdlog::info("directory loaded jobs={} over={}", jobs_.size(), over_.size());
+        loaded_ = true;
+        revision_ = std::max(revision_, all.revision);
+        if (on_leader_) on_leader_();
+        follow(all.revision);
+      });
 }
 
 void Directory::follow(std::uint64_t after) {
-  store_.watch(keys::shared, after, [this, after](Outcome outcome, protocol::WatchPage page) {
-    if (outcome == Outcome::conflict) return load();
-    if (outcome != Outcome::ok) {
-      runtime_.after(constants::state_retry_s, [this, after] { follow(after); });
-      return;
-    }
-    for (const auto& each : page.events) apply(each.key, each.value, each.version);
-    revision_ = std::max(revision_, page.revision);
-    follow(std::max(after, page.revision));
-  });
+  store_.watch(keys::shared, after,
+               [this, after](Outcome outcome, const protocol::WatchPage& page) {
+                 if (outcome == Outcome::conflict) return load();
+                 if (outcome != Outcome::ok) {
+                   runtime_.after(constants::state_retry_s, [this, after] { follow(after); });
+                   return;
+                 }
+                 for (const auto& each : page.events) apply(each.key, each.value, each.version);
+                 revision_ = std::max(revision_, page.revision);
+                 follow(std::max(after, page.revision));
+               });
 }
 
 void Directory::learn(const std::string& key, const std::optional<Json>& value,
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -700,7 +700,7 @@
   }
   if (jobs.empty()) return;
   closing_ = true;
-  store_.transact(std::move(transaction), Urgency::closing,
+  store_.transact(transaction, Urgency::closing,
                   [this, term = term_, jobs](const TransactionResult& result) {
                     if (term == term_) closed(jobs, result);
                   });
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -49,35 +49,36 @@
 
 // Only the leader writes here, so the pages of a listing fit together.
 void JournalDesk::list(std::function<void(std::optional<Ledger>)> done) {
-  store_.list_all(
-      keys::journal, Urgency::journal,
-      [this, term = term_, done = std::move(done)](Outcome outcome, protocol::EntryPage page) {
-        if (term != term_) return;
-        if (outcome != Outcome::ok) return later([this, done] { list(done); });
-        bookkeeping::JournalReader reader;
-        std::optional<Ledger> ledger;
-        try {
-          for (const auto& each : page.entries) versions_[each.key] = each.version;
-          for (const auto& each : page.entries) reader.add(each.key, each.value);
-          ledger = reader.replay();
-        } catch (const protocol::DecodeError& problem) {
-          // Never read as "nothing is placed": the caller has to wait until nothing can be.
-          spdlog::error("journal not understood why=\"{}\"", problem.what());
-          return done(std::nullopt);
-        }
-        if (reader.empty()) return look_for_old_form(done);
-        head_ = reader.head();
-        next_number_ = std::max(reader.last_segment() + 1, head_.from);
-        // Its size is not told by the parts alone; the next snapshot sets it.
-        bytes_since_ = constants::journal_least_bytes / 2;
-        open_ = true;
-        done(std::move(ledger));
-      });
+  store_.list_all(keys::journal, Urgency::journal,
+                  [this, term = term_, done = std::move(done)](Outcome outcome,
+                                                               const protocol::EntryPage& page) {
+                    if (term != term_) return;
+                    if (outcome != Outcome::ok) return later([this, done] { list(done); });
+                    bookkeeping::JournalReader reader;
+                    std::optional<Ledger> ledger;
+                    try {
+                      for (const auto& each : page.entries) versions_[each.key] = each.version;
+                      for (const auto& each : page.entries) reader.add(each.key, each.value);
+                      ledger = reader.replay();
+                    } catch (const protocol::DecodeError& problem) {
+                      // Never read as "nothing is placed": the caller has to wait until nothing can
+                      // be.
+                      spdlog::error("journal not understood why=\"{}\"", problem.what());
+                      return done(std::nullopt);
+                    }
+                    if (reader.empty()) return look_for_old_form(done);
+                    head_ = reader.head();
+                    next_number_ = std::max(reader.last_segment() + 1, head_.from);
+                    // Its size is not told by the parts alone; the next snapshot sets it.
+                    bytes_since_ = constants::journal_least_bytes / 2;
+                    open_ = true;
+                    done(std::move(ledger));
+                  });
 }
 
-void JournalDesk::look_for_old_form(std::function<void(std::optional<Ledger>)> done) {
+void JournalDesk::look_for_old_form(const std::function<void(std::optional<Ledger>)>& done) {
   store_.list_all(keys::old_machines, Urgency::journal,
-                  [this, term = term_, done](Outcome outcome, protocol::EntryPage page) {
+                  [this, term = term_, done](Outcome outcome, const protocol::EntryPage& page) {
                     if (term != term_) return;
                     if (outcome != Outcome::ok) return later([this, done] { list(done); });
                     if (!page.entries.empty()) {
@@ -91,7 +92,7 @@
                   });
 }
 
-void JournalDesk::wipe(std::function<void()> done) {
+void JournalDesk::wipe(const std::function<void()>& done) {
   if (versions_.empty()) {
     head_ = {};
     next_number_ = 1;
@@ -106,7 +107,7 @@
     removed.push_back(key);
     transaction.changes.push_back({key, {}, 0});
   }
-  store_.transact(std::move(transaction), Urgency::journal,
+  store_.transact(transaction, Urgency::journal,
                   [this, term = term_, removed, done](const TransactionResult& result) {
                     if (term != term_) return;
                     if (result.outcome == Outcome::conflict)
@@ -228,7 +229,7 @@
   }
   busy_ = true;
   send_at_s_ = runtime_.now_s() + 1 / (constants::journal_rate_share * settings_.state_write_rps);
-  store_.transact(std::move(transaction), Urgency::journal,
+  store_.transact(transaction, Urgency::journal,
                   [this, term = term_](const TransactionResult& result) {
                     if (term == term_) settled(result);
                   });
--- a/src/coordination/journal_desk.hpp
+++ b/src/coordination/journal_desk.hpp
@@ -29,7 +29,7 @@
   // Reads what the former leaders wrote; nothing when it cannot be understood. After that,
   // `wipe` starts an empty journal in its place.
   void load(std::function<void(std::optional<bookkeeping::Ledger>)> done);
-  void wipe(std::function<void()> done);
+  void wipe(const std::function<void()>& done);
   void end();  // this node no longer leads
 
   // Returns the mark up to which the journal must land for the entry to be durable.
@@ -53,7 +53,7 @@
   };
 
   void list(std::function<void(std::optional<bookkeeping::Ledger>)> done);
-  void look_for_old_form(std::function<void(std::optional<bookkeeping::Ledger>)> done);
+  void look_for_old_form(const std::function<void(std::optional<bookkeeping::Ledger>)>& done);
   std::vector<std::vector<std::string>> grouped(
       const std::vector<bookkeeping::Json>& entries) const;
   void cut();
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -65,28 +65,27 @@
   transaction.changes = {
       {keys::leader, bookkeeping::encode(bookkeeping::LeaderRecord{name_, token}).dump(), lease},
       {keys::token, bookkeeping::encode_token(token).dump(), 0}};
-  store_.transact(std::move(transaction), Urgency::lease,
-                  [this, lease, token, sent_s](TransactionResult result) {
-                    if (result.outcome == Outcome::ok) {
-                      trying_ = false;
-                      leading_ = true;
-                      lease_ = lease;
-                      token_ = token;
-                      version_ = result.revision;
-                      won_s_ = confirmed_s_ = renewed_s_ = sent_s;
-                      spdlog::info("leading token={}", token_);
-                      directory_.learn(keys::token, bookkeeping::encode_token(token), version_);
-                      directory_.learn(keys::leader,
-                                       bookkeeping::encode(bookkeeping::LeaderRecord{name_, token}),
-                                       version_);
-                      if (on_won_) on_won_();
-                      return;
-                    }
-                    // With no answer the attempt may still succeed: then the watch shows our name,
-                    // and the next attempt replaces it under a higher token.
-                    if (result.outcome != Outcome::unknown) store_.drop_lease(lease);
-                    runtime_.after(constants::state_retry_s, [this] { trying_ = false; });
-                  });
+  store_.transact(
+      transaction, Urgency::lease, [this, lease, token, sent_s](const TransactionResult& result) {
+        if (result.outcome == Outcome::ok) {
+          trying_ = false;
+          leading_ = true;
+          lease_ = lease;
+          token_ = token;
+          version_ = result.revision;
+          won_s_ = confirmed_s_ = renewed_s_ = sent_s;
+          spdlog::info("leading token={}", token_);
+          directory_.learn(keys::token, bookkeeping::encode_token(token), version_);
+          directory_.learn(keys::leader,
+                           bookkeeping::encode(bookkeeping::LeaderRecord{name_, token}), version_);
+          if (on_won_) on_won_();
+          return;
+        }
+        // With no answer the attempt may still succeed: then the watch shows our name,
+        // and the next attempt replaces it under a higher token.
+        if (result.outcome != Outcome::unknown) store_.drop_lease(lease);
+        runtime_.after(constants::state_retry_s, [this] { trying_ = false; });
+      });
 }
 
 void Leadership::renew() {
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -213,7 +213,7 @@
     case What::show:
       return users_.show(path.id, std::move(respond));
     case What::cancel:
-      return users_.cancel(path.id, std::move(respond));
+      return users_.cancel(path.id, respond);
     case What::report:
       return report(request.body, respond);
     default:
--- a/src/coordination/state_store.cpp
+++ b/src/coordination/state_store.cpp
@@ -184,7 +184,7 @@
   walk->next("");
 }
 
-void StateStore::transact(protocol::Transaction transaction, Urgency urgency,
+void StateStore::transact(const protocol::Transaction& transaction, Urgency urgency,
                           std::function<void(TransactionResult)> done) {
   Call call{{"POST", protocol::transaction_path, protocol::encode_transaction(transaction)},
             constants::state_timeout_s,
@@ -229,7 +229,7 @@
             constants::grant_timeout_s,
             0,
             false,
-            [done = std::move(done)](HttpResponse response) {
+            [done = std::move(done)](const HttpResponse& response) {
               done(response.status == 404 ? Outcome::lease_gone : outcome_of(response));
             }};
   enqueue(Urgency::lease, std::move(call));
@@ -240,7 +240,7 @@
             constants::grant_timeout_s,
             0,
             false,
-            [](HttpResponse) {}};
+            [](const HttpResponse&) {}};
   enqueue(Urgency::lease, std::move(call));
 }
 
--- a/src/coordination/state_store.hpp
+++ b/src/coordination/state_store.hpp
@@ -72,7 +72,7 @@
   // All pages of a prefix; the revision is the first page's.
   void list_all(const std::string& prefix, Urgency urgency,
                 std::function<void(Outcome, protocol::EntryPage)> done);
-  void transact(protocol::Transaction transaction, Urgency urgency,
+  void transact(const protocol::Transaction& transaction, Urgency urgency,
                 std::function<void(TransactionResult)> done);
   void create_lease(int ttl_ms, std::function<void(Outcome, std::uint64_t)> done);
   void renew_lease(std::uint64_t lease, std::function<void(Outcome)> done);
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -98,7 +98,7 @@
   for (const auto& each : open)
     if (directory_.job(each.id) != nullptr) live.insert(each.id);
   store_.transact(
-      std::move(comparison), Urgency::user,
+      comparison, Urgency::user,
       [this, open = std::move(open), live = std::move(live)](TransactionResult result) mutable {
         const std::set<std::string> failed(result.failed.begin(), result.failed.end());
         for (auto& each : open) {
@@ -216,39 +216,40 @@
   protocol::Transaction transaction;
   transaction.conditions = {{job_key(id), 0}, {over_key(id), 0}};
   transaction.changes = {{job_key(id), value.dump(), 0}};
-  store_.transact(
-      std::move(transaction), Urgency::user,
-      [this, id, record, value, since_s, respond = std::move(respond)](TransactionResult result) {
-        switch (result.outcome) {
-          case Outcome::ok:
-            directory_.learn(job_key(id), value, result.revision);
-            spdlog::info("job accepted id={} class={} team={} tasks={}", id, record.spec.job_class,
-                         record.spec.team, record.spec.tasks);
-            return respond({201, protocol::encode_submitted(id, JobState::queued)});
-          case Outcome::conflict:
-            return read_again(id, [this, id, respond](Certainty certainty) {
-              if (certainty == Certainty::live || certainty == Certainty::over)
-                return answer_state(id, false, respond);
-              respond(later());
-            });
-          case Outcome::throttled:
-            if (!patient(since_s)) return respond(later());
-            runtime_.after(
-                constants::throttle_pause_s,
-                [this, spec = record.spec, since_s, respond] { accept(spec, since_s, respond); });
-            return;
-          default:
-            return respond(later());
-        }
-      });
+  store_.transact(transaction, Urgency::user,
+                  [this, id, record, value, since_s,
+                   respond = std::move(respond)](const TransactionResult& result) {
+                    switch (result.outcome) {
+                      case Outcome::ok:
+                        directory_.learn(job_key(id), value, result.revision);
+                        spdlog::info("job accepted id={} class={} team={} tasks={}", id,
+                                     record.spec.job_class, record.spec.team, record.spec.tasks);
+                        return respond({201, protocol::encode_submitted(id, JobState::queued)});
+                      case Outcome::conflict:
+                        return read_again(id, [this, id, respond](Certainty certainty) {
+                          if (certainty == Certainty::live || certainty == Certainty::over)
+                            return answer_state(id, false, respond);
+                          respond(later());
+                        });
+                      case Outcome::throttled:
+                        if (!patient(since_s)) return respond(later());
+                        runtime_.after(constants::throttle_pause_s,
+                                       [this, spec = record.spec, since_s, respond] {
+                                         accept(spec, since_s, respond);
+                                       });
+                        return;
+                      default:
+                        return respond(later());
+                    }
+                  });
 }
 
 // --- cancel ---
 
-void UserDesk::cancel(const std::string& id, Respond respond) {
+void UserDesk::cancel(const std::string& id, const Respond& respond) {
   if (!protocol::valid_job_id(id)) return respond(not_found());
   if (must_turn_away()) return respond(later());
-  mark_cancelled(id, runtime_.now_s(), std::move(respond));
+  mark_cancelled(id, runtime_.now_s(), respond);
 }
 
 std::vector<std::string> UserDesk::recent_cancellations() {
@@ -260,7 +261,7 @@
   return out;
 }
 
-void UserDesk::mark_cancelled(const std::string& id, double since_s, Respond respond) {
+void UserDesk::mark_cancelled(const std::string& id, double since_s, const Respond& respond) {
   const KnownJob* known = directory_.job(id);
   if (directory_.final_state(id) || (known != nullptr && known->record.cancelled))
     return answer_state(id, false, respond);
@@ -276,8 +277,8 @@
   protocol::Transaction transaction;
   transaction.conditions = {{job_key(id), known->version}};
   transaction.changes = {{job_key(id), value.dump(), 0}};
-  store_.transact(std::move(transaction), Urgency::user,
-                  [this, id, value, again, since_s, respond](TransactionResult result) {
+  store_.transact(transaction, Urgency::user,
+                  [this, id, value, again, since_s, respond](const TransactionResult& result) {
                     if (result.outcome == Outcome::ok) {
                       directory_.learn(job_key(id), value, result.revision);
                       spdlog::info("job cancelled id={}", id);
--- a/src/coordination/user_desk.hpp
+++ b/src/coordination/user_desk.hpp
@@ -27,7 +27,7 @@
 
   void submit(const std::string& body, transport::Respond respond);
   void show(const std::string& id, transport::Respond respond);
-  void cancel(const std::string& id, transport::Respond respond);
+  void cancel(const std::string& id, const transport::Respond& respond);
   // Jobs whose cancellation this node has accepted of late.
   std::vector<std::string> recent_cancellations();
 
@@ -49,7 +49,7 @@
   protocol::JobState state_of(const std::string& id) const;
   std::string refusal(protocol::JobSpec& job) const;
   void accept(protocol::JobSpec job, double since_s, transport::Respond respond);
-  void mark_cancelled(const std::string& id, double since_s, transport::Respond respond);
+  void mark_cancelled(const std::string& id, double since_s, const transport::Respond& respond);
   bool must_turn_away() const;
   bool patient(double since_s) const;
 
--- a/src/planning/labl.cpp
+++ b/src/planning/labl.cpp
@@ -244,6 +244,7 @@
                    const LablWeights& weights, double unit) {
   if (unit <= 0) return 0;
   std::vector<JobNeed> needs;
+  needs.reserve(jobs.size());
   for (const auto& job : jobs)
     needs.push_back({static_cast<double>(job.count), mean_unit(job), least_holder_load(job, load)});
   std::uint64_t high = 1;
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -44,7 +44,7 @@
         todo();
       },
       static_cast<std::uint64_t>(std::ceil(std::max(0.0, delay_s) * 1000.0)), 0);
-  shot.release();
+  (void)shot.release();
 }
 
 void EventLoop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -111,7 +111,7 @@
         &write->request, reinterpret_cast<uv_stream_t*>(&tcp_), &buffer, 1,
         [](uv_write_t* done, int) { std::unique_ptr<Write>(static_cast<Write*>(done->data)); });
     if (rc == 0) {
-      write.release();
+      (void)write.release();
     } else {
       close();
     }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -81,8 +81,8 @@
       return reply({400, R"({"error":"body over 64 KiB"})"}, keep);
     }
     std::weak_ptr<Connection> weak = weak_from_this();
-    server_.handler_(request, [weak, keep](HttpResponse response) {
-      if (auto self = weak.lock()) self->reply(std::move(response), keep);
+    server_.handler_(request, [weak, keep](const HttpResponse& response) {
+      if (auto self = weak.lock()) self->reply(response, keep);
     });
   }
 
@@ -91,7 +91,7 @@
     place_.reset();
   }
 
-  void reply(HttpResponse response, bool keep) {
+  void reply(const HttpResponse& response, bool keep) {
     if (closing_) return;
     auto write = std::make_unique<Write>();
     write->data = "HTTP/1.1 " + std::to_string(response.status) + " " +
@@ -108,12 +108,12 @@
     const int rc = uv_write(&write->request, reinterpret_cast<uv_stream_t*>(&tcp_), &buffer, 1,
                             [](uv_write_t* done, int status) {
                               auto* stream = done->handle;
-                              std::unique_ptr<Write>(static_cast<Write*>(done->data));
+                              const std::unique_ptr<Write> owned(static_cast<Write*>(done->data));
                               auto* self = static_cast<Connection*>(stream->data);
                               if (status != 0 || self->close_after_write_) self->close();
                             });
     if (rc == 0) {
-      write.release();
+      (void)write.release();
     } else {
       close();
     }
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -39,7 +39,7 @@
                  [](uv_write_t* done, int) {
                    std::unique_ptr<Write>(static_cast<Write*>(done->data));
                  }) == 0) {
-      write.release();
+      (void)write.release();
     } else {
       drop();
     }
--- a/tests/unit/journal_test.cpp
+++ b/tests/unit/journal_test.cpp
@@ -23,6 +23,7 @@
 
 std::vector<std::string> texts(const std::vector<Json>& entries) {
   std::vector<std::string> out;
+  out.reserve(entries.size());
   for (const Json& each : entries) out.push_back(each.dump());
   return out;
 }
--- a/tests/unit/labl_test.cpp
+++ b/tests/unit/labl_test.cpp
@@ -80,6 +80,7 @@
 TEST(Labl, PaperExampleShape) {
   const std::vector<double> loads = {0, 4, 3, 2, 1, 2, 3, 1, 2, 2};
   std::vector<LablServer> servers;
+  servers.reserve(loads.size());
   for (double each : loads) servers.push_back({each});
   std::vector<LablJob> jobs;
   for (std::size_t t = 0; t < 20; ++t) jobs.push_back(task(10, {t % 5, 5 + t % 3}));
@@ -96,8 +97,7 @@
 
 TEST(Labl, LowerBoundOfAnEvenPlacementIsTheTrivialOne) {
   // Every task local everywhere, idle servers: ceil(|T| / |S|) (section 3.3).
-  std::vector<LablJob> jobs;
-  for (int t = 0; t < 10; ++t) jobs.push_back(task(4, {0, 1, 2, 3}));
+  const std::vector<LablJob> jobs(10, task(4, {0, 1, 2, 3}));
   EXPECT_DOUBLE_EQ(lower_bound(jobs, {0, 0, 0, 0}, paper, 1), 3);
 }
 
--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -27,7 +27,8 @@
   const auto& spec = jobs_.at(id);
   auto& places = on_[{id, index}];
   for (const auto& [machine, other] : places)
-    if (machine != place.machine) breach("ran_twice", name + " and " + machine);
+    if (machine != place.machine)
+      breach("ran_twice", std::string(name).append(" and ").append(machine));
   const bool type_allowed = !spec.types || std::find(spec.types->begin(), spec.types->end(),
                                                      place.type) != spec.types->end();
   if (!type_allowed || (place.spot && !spec.spot) || (spec.zone && *spec.zone != place.zone))
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -158,8 +158,11 @@
     const double every = line.number_of("every", 0);
     const double until = line.number_of("until", until_);
     if (every <= 0) return;
-    for (double t = from; t < until; t += every * world_->queue().uniform(0.5, 1.5))
-      world_->queue().at(t, [this, line] { submit(line); });
+    double next = from;
+    while (next < until) {
+      world_->queue().at(next, [this, line] { submit(line); });
+      next += every * world_->queue().uniform(0.5, 1.5);
+    }
   }
 
   void submit(const Line& line) {
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 constexpr std::size_t page_items = 1000;
-constexpr std::size_t page_bytes = 512 * 1024;
+constexpr std::size_t page_bytes = std::size_t{512} * 1024;
 constexpr std::size_t most_log = 10'000;
-constexpr std::size_t most_body = 64 * 1024;
-constexpr std::size_t most_value = 8 * 1024;
+constexpr std::size_t most_body = std::size_t{64} * 1024;
+constexpr std::size_t most_value = std::size_t{8} * 1024;
 }  // namespace
 
 std::map<std::string, std::string> query_of(const std::string& target) {
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -106,7 +106,7 @@
   const std::uint64_t number = in_flight_ = ++reports_;
   const std::uint64_t session = session_;
   const double sent = last_report_ = queue_.now();
-  send_(nodes_[node_], *this, body(), [this, number, session, sent](HttpResponse response) {
+  send_(nodes_[node_], *this, body(), [this, number, session, sent](const HttpResponse& response) {
     if (alive_ && !hanging()) answered(number, session, sent, response);
   });
   queue_.after(answer_within_s, [this, number] {
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -50,7 +50,7 @@
       if (mine.expired() || std::exchange(*settled, true)) return;
       done(std::move(response));
     };
-    const auto answered = [this, mine, settle](HttpResponse response) {
+    const auto answered = [this, mine, settle](const HttpResponse& response) {
       if (!mine.expired()) arrive([settle, response] { settle(response); });
     };
     // A timer, and so before any answer that waits when a node wakes.
@@ -64,7 +64,7 @@
     }
     const double there = world.queue_.chance(0.01) ? 0.3 : world.queue_.uniform(0.001, 0.004);
     world.queue_.after(there, [this, state, request, answered] {
-      const auto reply = [this, state, answered](HttpResponse response) {
+      const auto reply = [this, state, answered](const HttpResponse& response) {
         // Nothing crosses a cut, answers to calls made before it included.
         if (state && cut.state) return;
         if (state && world.queue_.chance(world.settings_.lose_answers)) return;
@@ -87,11 +87,11 @@
   }
 
   void carry_out(bool state, const HttpRequest& request,
-                 std::function<void(HttpResponse)> reply) const {
+                 const std::function<void(HttpResponse)>& reply) const {
     if (state) {
-      world.state_->handle(request, std::move(reply));
+      world.state_->handle(request, reply);
     } else {
-      world.cloud_->handle(request, std::move(reply));
+      world.cloud_->handle(request, reply);
     }
   }
 
@@ -136,14 +136,14 @@
   for (const auto& team : settings.teams)
     rules_.team(team.name, static_cast<std::int64_t>(team.cpus_max * 1000));
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(settings.nodes));
   for (int i = 0; i < settings.nodes; ++i) names.push_back("stile-" + std::to_string(i));
   cloud_->on_up = [this, names](const Rented& rented, const protocol::MachineType& type) {
     auto worker = std::make_unique<Worker>(
         queue_, rules_, Place{rented.id, rented.type, rented.zone, rented.spot}, type,
         WorkerTimes{settings_.report_s, settings_.lease_s}, names,
-        [this](const std::string& node, const Worker& from, std::string body, Worker::Reply reply) {
-          send_report(node, from, std::move(body), std::move(reply));
-        });
+        [this](const std::string& node, const Worker& from, const std::string& body,
+               const Worker::Reply& reply) { send_report(node, from, body, reply); });
     worker->start();
     workers_[rented.id] = std::move(worker);
   };
@@ -194,7 +194,7 @@
 
 // --- network ---
 
-void World::send_report(const std::string& node, const Worker& from, std::string body,
+void World::send_report(const std::string& node, const Worker& from, const std::string& body,
                         Worker::Reply answer) {
   // What a deaf machine is told is lost on the way; it may hear again before the next answer.
   const auto reply = [this, machine = from.place().machine,
@@ -225,10 +225,11 @@
       if (!to->node) return reply({0, ""});
       to->arrive([this, to, body, reply] {
         if (!to->node) return;
-        to->node->handle({"POST", "/agent/beat", body}, [this, to, reply](HttpResponse response) {
-          if (to->cut.workers) return;
-          queue_.after(queue_.uniform(0.0005, 0.003), [reply, response] { reply(response); });
-        });
+        to->node->handle(
+            {"POST", "/agent/beat", body}, [this, to, reply](const HttpResponse& response) {
+              if (to->cut.workers) return;
+              queue_.after(queue_.uniform(0.0005, 0.003), [reply, response] { reply(response); });
+            });
       });
     });
   }
@@ -250,7 +251,7 @@
     if (!to->node) return settle({});
     to->arrive([this, to, method, target, body, settle] {
       if (!to->node) return;
-      to->node->handle({method, target, body}, [this, settle](HttpResponse response) {
+      to->node->handle({method, target, body}, [this, settle](const HttpResponse& response) {
         queue_.after(0.002, [settle, response] { settle(response); });
       });
     });
@@ -275,7 +276,7 @@
 }
 
 void World::resubmit(const std::string& id) {
-  user_call("POST", "/submissions", bodies_[id], [this, id](HttpResponse response) {
+  user_call("POST", "/submissions", bodies_[id], [this, id](const HttpResponse& response) {
     if (response.status == 201 || response.status == 200) {
       const auto stage = protocol::parse_object(response.body).at("stage").get<std::string>();
       rules_.told(id, response.status, stage, false);
@@ -289,7 +290,7 @@
 
 void World::poll(const std::string& id) {
   rules_.asked(id);
-  user_call("GET", "/submissions/" + id, "", [this, id](HttpResponse response) {
+  user_call("GET", "/submissions/" + id, "", [this, id](const HttpResponse& response) {
     std::string stage;
     if (response.status == 200) stage = protocol::parse_object(response.body).at("stage");
     rules_.told(id, response.status, stage, true);
@@ -302,7 +303,7 @@
 
 void World::cancel(const std::string& id) {
   cancelling_.insert(id);
-  user_call("POST", "/submissions/" + id + "/cancel", "", [this, id](HttpResponse response) {
+  user_call("POST", "/submissions/" + id + "/cancel", "", [this, id](const HttpResponse& response) {
     if (response.status == 404) return rules_.told(id, 404, "", true);
     if (response.status != 200) return queue_.after(retry_after_s, [this, id] { cancel(id); });
     const auto stage = protocol::parse_object(response.body).at("stage").get<std::string>();
@@ -312,8 +313,9 @@
 }
 
 void World::ask_unknown(const std::string& id) {
-  user_call("GET", "/submissions/" + id, "",
-            [this, id](HttpResponse response) { rules_.told(id, response.status, "?", true); });
+  user_call("GET", "/submissions/" + id, "", [this, id](const HttpResponse& response) {
+    rules_.told(id, response.status, "?", true);
+  });
 }
 
 std::string World::any_job(const std::string& job_class, bool finished) const {
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -93,7 +93,7 @@
   void user_call(const std::string& method, const std::string& target, const std::string& body,
                  std::function<void(transport::HttpResponse)> done);
   void poll(const std::string& id);
-  void send_report(const std::string& node, const Worker& from, std::string body,
+  void send_report(const std::string& node, const Worker& from, const std::string& body,
                    Worker::Reply reply);
   std::vector<Worker*> some_workers(int count);
   void sweep();
