--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -48,6 +48,8 @@
   // Keeps the knowledge of the state service fresh on a node that nobody asks anything.
   if (runtime_.now_s() - store_.last_contact_s() > constants::peer_beat_s)
     store_.get(bookkeeping::keys::token, Urgency::rest, [](Outcome, auto) {});
+  const std::uint64_t sent_away = reach_now_.sent_away;
+  judge_reach();
   protocol::PeerStatus status;
   status.name = settings_.name;
   status.token = std::max(directory_.token(), leadership_.token());
@@ -55,8 +57,7 @@
   status.sent_wall_s = runtime_.wall_s();
   status.state_wall_s = store_.last_contact_wall_s();
   status.cancelled = users_.recent_cancellations();
-  status.sent_away = reach_now_.sent_away;
-  judge_reach();
+  status.sent_away = sent_away;
   if (status.leading)
     for (const auto& id : dispatcher_.job_ids(constants::most_told_jobs)) {
       const TaskCounts counts = dispatcher_.counts(id);
