--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -26,6 +26,15 @@
 using transport::HttpResponse;
 using transport::Respond;
 
+namespace {
+
+// How long to wait by our clock until that much time has surely passed by another's.
+double waited_out_s(double span_s) {
+  return span_s * (1 + constants::clock_drift) + constants::lease_margin_s;
+}
+
+}  // namespace
+
 Dispatcher::Dispatcher(transport::Runtime& runtime, Directory& directory, StateStore& store,
                        Leadership& leadership, JournalDesk& journal, CloudDesk& cloud,
                        const protocol::Settings& settings, const protocol::Properties& properties)
@@ -90,15 +99,14 @@
     // so after that time nothing runs.
     spdlog::error("waiting until every lease has ended seconds={}", settings_.cancel_s);
     quiet_ = true;
-    runtime_.after(settings_.cancel_s * (1 + constants::clock_drift) + constants::lease_margin_s,
-                   [this, term] {
-                     if (term != term_) return;
-                     journal_.wipe([this, term] {
-                       if (term != term_) return;
-                       quiet_ = false;
-                       build({});
-                     });
-                   });
+    runtime_.after(waited_out_s(settings_.cancel_s), [this, term] {
+      if (term != term_) return;
+      journal_.wipe([this, term] {
+        if (term != term_) return;
+        quiet_ = false;
+        build({});
+      });
+    });
   });
 }
 
@@ -358,7 +366,7 @@
   if (!machine.confirmed && report.token == leadership_.token()) plan_due_ = true;
   machine.confirmed = report.token == leadership_.token();
   // A session that outlasts a lease is proof that our answers arrive.
-  const double lease = settings_.lease_s * (1 + constants::clock_drift) + constants::lease_margin_s;
+  const double lease = waited_out_s(settings_.lease_s);
   if (machine.suspect && machine.confirmed && now - machine.session_s > lease &&
       now - machine.suspect_s > lease) {
     spdlog::info("machine hears us again id={}", machine.id);
@@ -593,12 +601,10 @@
 
 void Dispatcher::watch_leases() {
   const double now = runtime_.now_s();
-  const double lease = settings_.lease_s * (1 + constants::clock_drift) + constants::lease_margin_s;
+  const double lease = waited_out_s(settings_.lease_s);
   // Whoever led before us fell silent in time for every lease that it kept up to end within
   // `cancel_s` of its last renewal, which came before our election (Node::answer_until_s).
-  const double former_end = leadership_.won_s() +
-                            settings_.cancel_s * (1 + constants::clock_drift) +
-                            constants::lease_margin_s;
+  const double former_end = leadership_.won_s() + waited_out_s(settings_.cancel_s);
   for (auto& [id, machine] : model_.machines) {
     if (machine.session == 0) continue;
     if (!machine.heard && !machine.answered && now > former_end && !machine.placements.empty())
@@ -713,9 +719,7 @@
 void Dispatcher::closed(const std::vector<std::string>& jobs, const TransactionResult& result) {
   closing_ = false;
   if (result.outcome != Outcome::ok) {
-    const bool fenced = std::find(result.failed.begin(), result.failed.end(),
-                                  bookkeeping::keys::leader) != result.failed.end();
-    if (fenced) return leadership_.step_down("a write found another leader");
+    if (leadership_.deposed(result)) return;
     // The sweep brings back those that moved, once the watch has told what became of them.
     close_at_s_ = runtime_.now_s() + constants::state_retry_s;
     for (const auto& id : jobs) {
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -245,9 +245,7 @@
     send_at_s_ = std::max(send_at_s_, runtime_.now_s() + constants::journal_retry_s);
     return;
   }
-  if (std::find(result.failed.begin(), result.failed.end(), keys::leader) != result.failed.end())
-    return leadership_.step_down("a write found another leader");
-  verify();
+  if (!leadership_.deposed(result)) verify();
 }
 
 // A version had moved: an earlier try of this very batch must have been carried out after all.
--- a/src/coordination/leadership.cpp
+++ b/src/coordination/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "constants.hpp"
@@ -112,6 +113,13 @@
   if (!leader || leader->version != version_) step_down("key taken or gone");
 }
 
+bool Leadership::deposed(const TransactionResult& result) {
+  if (std::find(result.failed.begin(), result.failed.end(), keys::leader) == result.failed.end())
+    return false;
+  step_down("a write found another leader");
+  return true;
+}
+
 void Leadership::resign(const std::string& why, double aside_s) {
   aside_until_s_ = runtime_.now_s() + aside_s;
   store_.drop_lease(lease_);
--- a/src/coordination/leadership.hpp
+++ b/src/coordination/leadership.hpp
@@ -27,6 +27,8 @@
   // Steady time at which the election was asked for that this node won.
   double won_s() const { return won_s_; }
   void step_down(const std::string& why);
+  // Whether a write was refused because somebody else leads; then this node does not any more.
+  bool deposed(const TransactionResult& result);
   // Gives the grant back, so that a sibling can lead at once, and does not run again for a while.
   void resign(const std::string& why, double aside_s);
   // Ends that while.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -107,13 +107,13 @@
   const bool paused =
       reach_.size() > 1 && now - reach_[reach_.size() - 2].at_s > 2 * constants::peer_beat_s;
   if (paused || !leadership_.leading()) reach_.clear();
-  std::size_t beats = 0;
+  bool full = false;
   while (!reach_.empty() && now - reach_.front().at_s > constants::reach_window_s) {
     reach_.pop_front();
-    ++beats;
+    full = true;
   }
   // Only a full window counts.
-  if (beats == 0 || reach_.empty() || settings_.siblings.empty() || !dispatcher_.ready()) return;
+  if (!full || reach_.empty() || settings_.siblings.empty() || !dispatcher_.ready()) return;
   Reach sum;
   for (const auto& each : reach_) {
     sum.heard += each.heard;
