A leader keeps leases alive only while it surely knows what users were told is cancelled

Now every frame names all jobs that the sender's directory shows as cancelled, says which life it is and up to when its directory is proven; a leader's right to answer follows from those alone (Node::answer_until_s), and is checked again when a held answer is sent. A cancellation learnt from a sibling is for good. Watches are held 1 s instead of 8, since their answers are that proof. The stand-in world knows refusals of one node, hung watches, late and lost answers, held frames, machines that reach nobody, cancellations at a task's end and odd requests, and checks the 90 s. mark_every_s and mark_cost_s are required, as PROTOCOL says.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -24,9 +24,10 @@
 inline constexpr std::size_t client_connections = 24;
 // waiting calls per remote service before new ones are refused at once.
 inline constexpr std::size_t client_backlog = 512;
-// bytes; a frame between siblings holds a status with at most `most_told_jobs` jobs of some 60
-// bytes and the cancellations of two minutes; anything larger is garbage.
-inline constexpr std::size_t max_peer_frame_bytes = 256 * 1024;
+// bytes; a frame between siblings holds a status with at most `most_told_jobs` counts and
+// `most_told_cancellations` names, of some 60 and 42 bytes with the longest ids; anything larger is
+// garbage.
+inline constexpr std::size_t max_peer_frame_bytes = 512 * 1024;
 // incoming connections of siblings: a handful, some of them half dead.
 inline constexpr int most_peer_connections = 16;
 
@@ -43,8 +44,10 @@
 inline constexpr double throttle_pause_s = 0.05;
 // seconds; answers usually take 10 ms and now and then a few hundred.
 inline constexpr double state_timeout_s = 2.0;
-// seconds; how long a watch is held open, and the slack before it counts as stuck.
-inline constexpr double watch_hold_s = 8.0;
+// seconds; how long a watch is held open, and the slack before it counts as stuck. An answer proves
+// that everything is known that was committed before the watch was opened, and a leader's right to
+// keep leases alive hangs on that proof: so the hold is short, at one request a second.
+inline constexpr double watch_hold_s = 1.0;
 inline constexpr double watch_slack_s = 3.0;
 // seconds; pause before the state service is asked again after a failure.
 inline constexpr double state_retry_s = 0.25;
@@ -80,9 +83,9 @@
 inline constexpr std::size_t most_told_jobs = 3000;
 // seconds between status frames to siblings.
 inline constexpr double peer_beat_s = 1.0;
-// seconds that a node goes on telling its siblings which cancellations it has accepted: far longer
-// than an outage of the state service through which a leader keeps its workers' leases alive.
-inline constexpr double told_cancellations_s = 120;
+// cancelled jobs that one status frame names; a frame that would have to name more vouches for
+// nothing. Jobs that are cancelled and not over are few, except in a long outage.
+inline constexpr std::size_t most_told_cancellations = 6000;
 // seconds; a sibling's word is believed for this long.
 inline constexpr double peer_fresh_s = 3.0;
 
--- a/src/coordination/directory.cpp
+++ b/src/coordination/directory.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "constants.hpp"
 
 namespace poppystile::coordination {
@@ -23,9 +25,17 @@
   return it->second;
 }
 
+void Directory::proven(double at_s, double at_wall_s) {
+  proven_s_ = std::max(proven_s_, at_s);
+  proven_wall_s_ = std::max(proven_wall_s_, at_wall_s);
+}
+
 void Directory::load() {
+  const double asked = runtime_.now_s();
+  const double asked_wall = runtime_.wall_s();
   store_.list_all(
-      keys::shared, Urgency::user, [this](Outcome outcome, const protocol::EntryPage& all) {
+      keys::shared, Urgency::user,
+      [this, asked, asked_wall](Outcome outcome, const protocol::EntryPage& all) {
         if (outcome != Outcome::ok) {
           runtime_.after(constants::state_retry_s, [this] { load(); });
           return;
@@ -43,14 +53,17 @@
         if (!loaded_) spdlog::info("directory loaded jobs={} over={}", jobs_.size(), over_.size());
         loaded_ = true;
         revision_ = std::max(revision_, all.revision);
+        proven(asked, asked_wall);
         if (on_leader_) on_leader_();
         follow(all.revision);
       });
 }
 
 void Directory::follow(std::uint64_t after) {
+  const double asked = runtime_.now_s();
+  const double asked_wall = runtime_.wall_s();
   store_.watch(keys::shared, after,
-               [this, after](Outcome outcome, const protocol::WatchPage& page) {
+               [this, after, asked, asked_wall](Outcome outcome, const protocol::WatchPage& page) {
                  if (outcome == Outcome::conflict) return load();
                  if (outcome != Outcome::ok) {
                    runtime_.after(constants::state_retry_s, [this, after] { follow(after); });
@@ -58,6 +71,7 @@
                  }
                  for (const auto& each : page.events) apply(each.key, each.value, each.version);
                  revision_ = std::max(revision_, page.revision);
+                 proven(asked, asked_wall);
                  follow(std::max(after, page.revision));
                });
 }
@@ -74,7 +88,10 @@
       apply_job(key.substr(keys::jobs.size()), value, version);
     } else if (key.starts_with(keys::over)) {
       // Final: whatever is written there is never changed or removed.
-      if (value) over_.emplace(key.substr(keys::over.size()), bookkeeping::decode_over(*value));
+      const std::string id = key.substr(keys::over.size());
+      if (!value) return;
+      over_.emplace(id, bookkeeping::decode_over(*value));
+      cancelled_.erase(id);
     } else if (key == keys::leader) {
       if (version < leader_seen_) return;
       leader_seen_ = version;
@@ -100,7 +117,12 @@
   if (value) {
     // A record read long ago must not bring back a job that is over.
     if (over_.contains(id)) return;
-    jobs_[id] = {bookkeeping::decode_job(*value), version};
+    KnownJob job{bookkeeping::decode_job(*value), version};
+    // A cancellation is for good: an older record that comes after a sibling told of it, or in the
+    // listing after a gap, must not undo it.
+    if (cancelled_.contains(id)) job.record.cancelled = true;
+    if (job.record.cancelled) cancelled_.insert(id);
+    jobs_[id] = std::move(job);
   } else if (known != jobs_.end()) {
     jobs_.erase(known);
   } else {
@@ -109,4 +131,12 @@
   if (on_job_) on_job_(id);
 }
 
+void Directory::learn_cancelled(const std::string& id) {
+  if (over_.contains(id) || !cancelled_.insert(id).second) return;
+  const auto known = jobs_.find(id);
+  if (known == jobs_.end()) return;
+  known->second.record.cancelled = true;
+  if (on_job_) on_job_(id);
+}
+
 }  // namespace poppystile::coordination
--- a/src/coordination/directory.hpp
+++ b/src/coordination/directory.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -32,9 +33,16 @@
   bool loaded() const { return loaded_; }
   // All changes up to here have been taken in.
   std::uint64_t revision() const { return revision_; }
+  // Steady time before which nothing was committed that is not taken in: when the newest listing or
+  // watch that was answered was asked for. 0: not loaded.
+  double proven_s() const { return proven_s_; }
+  // Time of day of the same.
+  double proven_wall_s() const { return proven_wall_s_; }
   const std::map<std::string, KnownJob>& jobs() const { return jobs_; }
   const KnownJob* job(const std::string& id) const;
   std::optional<protocol::JobState> final_state(const std::string& id) const;
+  // Jobs known to be cancelled and not to be over.
+  const std::set<std::string>& cancelled() const { return cancelled_; }
   const std::optional<KnownLeader>& leader() const { return leader_; }
   std::uint64_t token() const { return token_; }
   std::uint64_t token_version() const { return token_version_; }
@@ -44,12 +52,16 @@
   // Takes what an answer of the state service told, ahead of the watch.
   void learn(const std::string& key, const std::optional<protocol::Json>& value,
              std::uint64_t version);
+  // A sibling's directory shows the job as cancelled, which is for good; our own may get there
+  // later.
+  void learn_cancelled(const std::string& id);
   void on_job(std::function<void(const std::string& id)> handler) { on_job_ = std::move(handler); }
   void on_leader(std::function<void()> handler) { on_leader_ = std::move(handler); }
 
  private:
   void load();
   void follow(std::uint64_t after);
+  void proven(double at_s, double at_wall_s);
   void apply(const std::string& key, const std::optional<protocol::Json>& value,
              std::uint64_t version);
   void apply_job(const std::string& id, const std::optional<protocol::Json>& value,
@@ -59,8 +71,10 @@
   StateStore& store_;
   bool loaded_ = false;
   std::uint64_t revision_ = 0;
+  double proven_s_ = 0, proven_wall_s_ = 0;
   std::map<std::string, KnownJob> jobs_;
   std::unordered_map<std::string, protocol::JobState> over_;
+  std::set<std::string> cancelled_;
   std::optional<KnownLeader> leader_;
   std::uint64_t leader_seen_ = 0;  // newest revision heard of the leader's key
   std::uint64_t token_ = 0;
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -221,12 +221,6 @@
       if (each.index == index && each.job == id) each.stopping = true;
 }
 
-void Dispatcher::cancelled_elsewhere(const std::string& id) {
-  Job* job = model_.job(id);
-  if (job == nullptr || std::exchange(job->record.cancelled, true)) return;
-  stop_all(id);
-}
-
 void Dispatcher::note_closable(const std::string& id, const Job& job) {
   if (job.record.cancelled ? job.places.empty() : job.all_finished()) closable_.insert(id);
 }
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -33,8 +33,6 @@
   bool ready() const { return ready_; }
   // Machines that this leader has heard and not given up.
   std::size_t live_machines() const;
-  // A sibling has accepted this; the state service may not be there to tell us.
-  void cancelled_elsewhere(const std::string& job);
 
  private:
   // An answer that waits for the journal.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -10,14 +10,23 @@
 
 using protocol::UserPath;
 using transport::HttpRequest;
+using transport::HttpResponse;
 using transport::Respond;
 
+namespace {
+
+HttpResponse cut_off() { return {503, protocol::encode_error("cut off from the state service")}; }
+
+}  // namespace
+
 Node::Node(transport::Runtime& runtime, transport::HttpCaller& http, transport::PeerNet& peers,
            const protocol::Settings& settings, const protocol::Properties& properties,
            std::uint64_t seed)
     : runtime_(runtime),
       peers_(peers),
       settings_(settings),
+      life_(seed),
+      born_wall_s_(runtime.wall_s()),
       store_(runtime, http, settings),
       directory_(runtime, store_),
       leadership_(runtime, store_, directory_, settings.name, seed),
@@ -52,11 +61,20 @@
   judge_reach();
   protocol::PeerStatus status;
   status.name = settings_.name;
+  status.life = life_;
+  status.born_wall_s = born_wall_s_;
   status.token = std::max(directory_.token(), leadership_.token());
   status.leading = leadership_.leading();
   status.sent_wall_s = runtime_.wall_s();
   status.state_wall_s = store_.last_contact_wall_s();
-  status.cancelled = users_.recent_cancellations();
+  status.proven_wall_s = directory_.proven_wall_s();
+  for (const auto& id : directory_.cancelled()) {
+    if (status.cancelled.size() == constants::most_told_cancellations) {
+      status.all_cancelled = false;
+      break;
+    }
+    status.cancelled.push_back(id);
+  }
   status.sent_away = sent_away;
   if (status.leading)
     for (const auto& id : dispatcher_.job_ids(constants::most_told_jobs)) {
@@ -72,10 +90,15 @@
   if (!status) return spdlog::info("peer frame malformed bytes={}", frame.size());
   const bool known = std::any_of(settings_.siblings.begin(), settings_.siblings.end(),
                                  [&](const auto& each) { return each.name == status->name; });
-  auto& last = siblings_[status->name];
-  // Frames held back by a cut arrive late; an older one says nothing new.
-  if (!known || status->sent_wall_s < last.sent_wall_s) return;
-  last = std::move(*status);
+  if (!known) return spdlog::info("peer frame of a stranger name={}", status->name);
+  // True whenever it was said.
+  for (const auto& id : status->cancelled) directory_.learn_cancelled(id);
+  auto& sibling = siblings_[status->name];
+  // Frames held back by a cut arrive late; an older one says nothing else that is new.
+  if (status->sent_wall_s < sibling.last.sent_wall_s) return;
+  vouch(sibling, *status);
+  sibling.last = std::move(*status);
+  const auto& last = sibling.last;
   // A frame that waited while we stood still, or in a cut, says nothing about now.
   if (runtime_.wall_s() - last.sent_wall_s < constants::peer_fresh_s)
     reach_now_.sent_away_elsewhere += last.sent_away;
@@ -84,7 +107,6 @@
     for (const auto& each : last.counts) told_counts_[each.job] = {each.done, each.running};
   }
   if (!leadership_.leading()) return;
-  for (const auto& id : last.cancelled) dispatcher_.cancelled_elsewhere(id);
   if (last.token > leadership_.token())
     return leadership_.step_down("a sibling knows a higher token");
   // Our grant has run out unless the whole state service is down; a sibling it answers proves
@@ -96,6 +118,23 @@
     leadership_.step_down("a sibling reaches the state service");
 }
 
+// What a frame proves about cancellations, beyond those that it names.
+void Node::vouch(Sibling& sibling, const protocol::PeerStatus& status) {
+  // A list that did not fit counts as not told.
+  if (!status.all_cancelled) return;
+  if (status.proven_wall_s > 0)
+    siblings_proven_s_ = std::max(siblings_proven_s_, steady_s(status.proven_wall_s));
+  // A process that has begun again knows nothing of what its former life told users. It answers for
+  // that once it has read the directory, which names whatever was committed by then, or once others
+  // have shown us the directory as it was after that life had ended.
+  if (status.life != sibling.life && status.proven_wall_s == 0 &&
+      std::max(directory_.proven_s(), siblings_proven_s_) <=
+          steady_s(status.born_wall_s) + 4 * settings_.clock_bound_s)
+    return;
+  sibling.life = status.life;
+  sibling.vouched_s = std::max(sibling.vouched_s, steady_s(status.sent_wall_s));
+}
+
 // A leader that holds its grant while workers do not reach it serves nobody, and their leases run
 // out: it leaves the key to a sibling that they do reach. Siblings that hear us contradict by
 // redirecting nothing; when none can be heard, silence of all machines has to do.
@@ -121,7 +160,7 @@
   }
   const bool siblings_heard =
       std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
-        return runtime_.wall_s() - each.second.sent_wall_s < constants::peer_fresh_s;
+        return runtime_.wall_s() - each.second.last.sent_wall_s < constants::peer_fresh_s;
       });
   const bool away = sum.sent_away_elsewhere >= constants::reach_least_machines &&
                     sum.sent_away_elsewhere > sum.heard * constants::resign_ratio;
@@ -133,35 +172,35 @@
                      constants::stand_aside_s);
 }
 
-double Node::sent_steady_s(const protocol::PeerStatus& status) const {
-  const double age = runtime_.wall_s() - status.sent_wall_s;
+double Node::steady_s(double wall_s) const {
+  const double age = runtime_.wall_s() - wall_s;
   return runtime_.now_s() - std::max(0.0, age) - 2 * settings_.clock_bound_s;
 }
 
-// A cancellation accepted elsewhere must reach our workers within `cancel_s`, also when we are cut
-// off: then their leases must have ended by then. A sibling that tells us it has had no answer from
-// the state service for a while has accepted nothing meanwhile, and told us what it accepted
-// before.
+// Users are told of a cancellation only by a node whose directory shows it. So we know all that
+// they were told of by some time when our own directory, or a sibling's that was told to us, holds
+// whatever was committed by then; or when every sibling has vouched for itself up to then. The
+// latter keeps leases alive through an outage, in which nothing can be proven.
+double Node::cancellations_known_s() const {
+  double vouched_by_all = runtime_.now_s();
+  for (const auto& each : settings_.siblings) {
+    const auto found = siblings_.find(each.name);
+    vouched_by_all =
+        std::min(vouched_by_all, found == siblings_.end() ? 0 : found->second.vouched_s);
+  }
+  return std::max({directory_.proven_s(), siblings_proven_s_, vouched_by_all});
+}
+
+// The one invariant behind `cancel_s`, see docs/design.md: a lease that we keep alive ends within
+// `cancel_s` of any cancellation that we do not know. An answer sent now keeps it alive for a
+// lease.
 double Node::answer_until_s() const {
-  const double confirmed = leadership_.confirmed_s();
   const double budget = settings_.cancel_s - settings_.lease_s * (1 + constants::clock_drift) -
                         3 * constants::lease_margin_s;
   // Without its picture a leader keeps leases alive but stops nothing, not even what was cancelled
   // before its election and not stopped by its predecessor any more.
   if (!dispatcher_.ready()) return leadership_.won_s() + budget * constants::unready_answer_share;
-  double known_until = runtime_.now_s();
-  // What siblings accepted before that is not in their frames any more.
-  if (known_until - confirmed > constants::told_cancellations_s / 2) known_until = confirmed;
-  for (const auto& sibling : settings_.siblings) {
-    const auto found = siblings_.find(sibling.name);
-    // Longer than a call may take: whatever was asked for before has been answered or given up.
-    const bool silent =
-        found != siblings_.end() &&
-        found->second.state_wall_s + constants::contact_stale_s < found->second.sent_wall_s;
-    known_until = std::min(known_until,
-                           silent ? std::max(confirmed, sent_steady_s(found->second)) : confirmed);
-  }
-  return std::max(confirmed, known_until) + budget;
+  return cancellations_known_s() + budget;
 }
 
 // --- requests ---
@@ -172,7 +211,7 @@
   // In an outage all nodes are alike, and being marked unhealthy would outlast it. A node that
   // alone is cut off should be passed over.
   return std::none_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
-    return runtime_.wall_s() - each.second.state_wall_s < constants::contact_stale_s;
+    return runtime_.wall_s() - each.second.last.state_wall_s < constants::contact_stale_s;
   });
 }
 
@@ -186,9 +225,13 @@
   }
   if (leadership_.leading()) {
     ++reach_now_.heard;
-    if (runtime_.now_s() > answer_until_s())
-      return respond({503, protocol::encode_error("cut off from the state service")});
-    return dispatcher_.report(report, respond);
+    if (runtime_.now_s() > answer_until_s()) return respond(cut_off());
+    // Answers wait for the journal, and the process may stand still: what counts is whether we may
+    // keep the lease alive when the answer is sent.
+    return dispatcher_.report(report, [this, respond](const HttpResponse& response) {
+      const bool late = response.status == 200 && runtime_.now_s() > answer_until_s();
+      respond(late ? cut_off() : response);
+    });
   }
   ++reach_now_.sent_away;
   leadership_.run_again();
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -40,14 +40,28 @@
   void report(const std::string& body, const transport::Respond& respond);
   void judge_reach();
   bool takes_requests() const;
-  // Steady time until which a leader may answer workers without new word from the state service.
+  // Steady time up to which this node surely knows every cancellation that any user was told of.
+  double cancellations_known_s() const;
+  // Steady time until which a leader may answer workers.
   double answer_until_s() const;
-  double sent_steady_s(const protocol::PeerStatus& status) const;
+  // Steady time by our clock of a time of day by a sibling's, surely not too late.
+  double steady_s(double wall_s) const;
   TaskCounts counts(const std::string& job) const;
 
+  struct Sibling {
+    protocol::PeerStatus last;  // its newest frame
+    std::uint64_t life = 0;     // whose word counts
+    // Steady; whatever cancellation it told a user before, in any life, its frames have told us.
+    double vouched_s = 0;
+  };
+  void vouch(Sibling& sibling, const protocol::PeerStatus& status);
+
   transport::Runtime& runtime_;
   transport::PeerNet& peers_;
   const protocol::Settings& settings_;
+  // Tell this life of the process from earlier ones, of which nothing is remembered here.
+  std::uint64_t life_;
+  double born_wall_s_;
   StateStore store_;
   Directory directory_;
   Leadership leadership_;
@@ -55,7 +69,9 @@
   CloudDesk cloud_;
   Dispatcher dispatcher_;
   UserDesk users_;
-  std::map<std::string, protocol::PeerStatus> siblings_;
+  std::map<std::string, Sibling> siblings_;
+  // Steady; what was committed before is known to us by a sibling's directory.
+  double siblings_proven_s_ = 0;
   std::map<std::string, TaskCounts> told_counts_;  // by the leader
   // Reports since the last beat: that came to us as leader, that we redirected, that siblings did.
   struct Reach {
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -252,15 +252,6 @@
   mark_cancelled(id, runtime_.now_s(), respond);
 }
 
-std::vector<std::string> UserDesk::recent_cancellations() {
-  while (!cancelled_.empty() &&
-         runtime_.now_s() - cancelled_.front().first > constants::told_cancellations_s)
-    cancelled_.pop_front();
-  std::vector<std::string> out;
-  for (const auto& [at, id] : cancelled_) out.push_back(id);
-  return out;
-}
-
 void UserDesk::mark_cancelled(const std::string& id, double since_s, const Respond& respond) {
   const KnownJob* known = directory_.job(id);
   if (directory_.final_state(id) || (known != nullptr && known->record.cancelled))
@@ -282,7 +273,6 @@
                     if (result.outcome == Outcome::ok) {
                       directory_.learn(job_key(id), value, result.revision);
                       spdlog::info("job cancelled id={}", id);
-                      cancelled_.emplace_back(runtime_.now_s(), id);
                       return respond({200, protocol::encode_submitted(id, JobState::cancelled)});
                     }
                     if (result.outcome == Outcome::conflict) return read_again(id, again);
--- a/src/coordination/user_desk.hpp
+++ b/src/coordination/user_desk.hpp
@@ -1,7 +1,6 @@
 // Users' requests. Any node serves them, against the state service.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <string>
 #include <utility>
@@ -28,8 +27,6 @@
   void submit(const std::string& body, transport::Respond respond);
   void show(const std::string& id, transport::Respond respond);
   void cancel(const std::string& id, const transport::Respond& respond);
-  // Jobs whose cancellation this node has accepted of late.
-  std::vector<std::string> recent_cancellations();
 
  private:
   // What is certain about a job now.
@@ -59,7 +56,6 @@
   const protocol::Settings& settings_;
   std::function<TaskCounts(const std::string&)> counts_;
   std::vector<Question> gathered_;
-  std::deque<std::pair<double, std::string>> cancelled_;  // when accepted
 };
 
 }  // namespace poppystile::coordination
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -16,8 +16,8 @@
 };
 using Item = std::unique_ptr<cbor_item_t, Release>;
 
-constexpr std::size_t status_fields = 9;  // the version, six values, counts, cancellations
-constexpr std::uint64_t version = 3;
+constexpr std::size_t status_fields = 13;  // the version, ten values, counts, cancellations
+constexpr std::uint64_t version = 4;
 
 void push(cbor_item_t* array, cbor_item_t* value) {
   Item owned(value);
@@ -97,10 +97,13 @@
   Item root(cbor_new_definite_array(status_fields));
   push(root.get(), cbor_build_uint64(version));
   push(root.get(), text(status.name));
+  push(root.get(), cbor_build_uint64(status.life));
+  push(root.get(), cbor_build_float8(status.born_wall_s));
   push(root.get(), cbor_build_uint64(status.token));
   push(root.get(), cbor_build_uint64(status.leading ? 1 : 0));
   push(root.get(), cbor_build_float8(status.sent_wall_s));
   push(root.get(), cbor_build_float8(status.state_wall_s));
+  push(root.get(), cbor_build_float8(status.proven_wall_s));
   push(root.get(), cbor_build_uint64(status.sent_away));
   cbor_item_t* counts = cbor_new_definite_array(status.counts.size() * 3);
   for (const auto& each : status.counts) {
@@ -112,6 +115,7 @@
   cbor_item_t* cancelled = cbor_new_definite_array(status.cancelled.size());
   for (const auto& each : status.cancelled) push(cancelled, text(each));
   push(root.get(), cancelled);
+  push(root.get(), cbor_build_uint64(status.all_cancelled ? 1 : 0));
   unsigned char* buffer = nullptr;
   std::size_t capacity = 0;
   const std::size_t size = cbor_serialize_alloc(root.get(), &buffer, &capacity);
@@ -128,10 +132,13 @@
     return std::nullopt;
   PeerStatus out;
   out.name = reader.words();
+  out.life = reader.number();
+  out.born_wall_s = reader.real();
   out.token = reader.number();
   out.leading = reader.number() == 1;
   out.sent_wall_s = reader.real();
   out.state_wall_s = reader.real();
+  out.proven_wall_s = reader.real();
   out.sent_away = reader.number();
   Item list = reader.next();
   Reader counts(list.get());
@@ -147,7 +154,8 @@
   Reader ids(cancelled.get());
   if (!reader.good() || !ids.good()) return std::nullopt;
   for (std::size_t i = 0; i < ids.size(); ++i) out.cancelled.push_back(ids.words());
-  if (!ids.good()) return std::nullopt;
+  out.all_cancelled = reader.number() == 1;
+  if (!ids.good() || !reader.good()) return std::nullopt;
   return out;
 }
 
--- a/src/protocol/submission.cpp
+++ b/src/protocol/submission.cpp
@@ -45,11 +45,6 @@
   return out;
 }
 
-double amount_or_zero(const Json& body, const char* name) {
-  const Json* found = find(body, name);
-  return found == nullptr ? 0.0 : as_amount(*found, name);
-}
-
 }  // namespace
 
 std::int64_t Resources::times_in(const Resources& room) const {
@@ -91,8 +86,8 @@
   job.image = need_name(body, "bundle");
   job.image_gb = need_amount(body, "pull_gb");
   job.estimate_s = need_amount(body, "guess_s");
-  job.checkpoint_s = amount_or_zero(body, "mark_every_s");
-  job.save_s = amount_or_zero(body, "mark_cost_s");
+  job.checkpoint_s = need_amount(body, "mark_every_s");
+  job.save_s = need_amount(body, "mark_cost_s");
   if (const Json* due = find(body, "due_s")) job.deadline_s = as_amount(*due, "due_s");
   return job;
 }
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -141,15 +141,36 @@
   EXPECT_THROW(bookkeeping::decode_job(value), DecodeError);
 }
 
+protocol::PeerStatus peer_status() {
+  protocol::PeerStatus status;
+  status.name = "stile-1";
+  status.life = 77;
+  status.born_wall_s = 1.4e9;
+  status.token = 9;
+  status.leading = true;
+  status.sent_wall_s = 1.7e9;
+  status.state_wall_s = 1.6e9;
+  status.sent_away = 12;
+  status.counts = {{"req-1", 5, 6}};
+  status.cancelled = {"req-7"};
+  return status;
+}
+
 TEST(Peers, RoundTripAndGarbage) {
-  const protocol::PeerStatus status{"stile-1",         9,        true, 1.7e9, 1.6e9, 12,
-                                    {{"req-1", 5, 6}}, {"req-7"}};
+  protocol::PeerStatus status = peer_status();
+  status.proven_wall_s = 1.5e9;
+  status.all_cancelled = false;
   const std::string frame = protocol::encode_peer_status(status);
   const auto again = protocol::decode_peer_status(frame);
   ASSERT_TRUE(again.has_value());
   EXPECT_EQ(again->counts.at(0).running, 6u);
   EXPECT_EQ(again->sent_wall_s, 1.7e9);
   EXPECT_EQ(again->sent_away, 12u);
+  EXPECT_EQ(again->life, 77u);
+  EXPECT_EQ(again->born_wall_s, 1.4e9);
+  EXPECT_EQ(again->state_wall_s, 1.6e9);
+  EXPECT_EQ(again->proven_wall_s, 1.5e9);
+  EXPECT_FALSE(again->all_cancelled);
   EXPECT_EQ(again->cancelled.at(0), "req-7");
   EXPECT_FALSE(protocol::decode_peer_status("").has_value());
   EXPECT_FALSE(protocol::decode_peer_status("\x81\x01").has_value());
@@ -167,8 +188,7 @@
 
 // Fuzz-like, with a fixed seed: broken input raises DecodeError or gives a value, nothing else.
 TEST(Decoders, SurviveBrokenInput) {
-  const std::string frame =
-      protocol::encode_peer_status({"s", 1, true, 2, 3, 4, {{"j", 4, 5}}, {"k"}});
+  const std::string frame = protocol::encode_peer_status(peer_status());
   const std::string machine_list =
       R"({"stiles":[{"id":"n-1","build":"g8","yard":"a","loaners":true,"stage":"running","held_s":6}],"more":false})";
   const std::string segment =
--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -5,8 +5,11 @@
 namespace poppystile::world {
 
 namespace {
-constexpr double sweep_slack_s = 0.5;    // seconds; the sweep runs every half second
-constexpr double unanswered_s = 75;      // PROTOCOL: after the last trouble
+constexpr double sweep_slack_s = 0.5;  // seconds; the sweep runs every half second
+constexpr double unanswered_s = 75;    // PROTOCOL: after the last trouble
+constexpr double waits_s = 90;         // the same, beside room that fits
+// seconds; an image may take as long to come, so that a start long after its command is no fault.
+constexpr double late_start_s = 20;
 constexpr double largest_begin_s = 240;  // PROTOCOL: the largest jobs begin within this
 constexpr double largest_share = 0.1;    // of a class's jobs, by tasks
 }  // namespace
@@ -47,8 +50,9 @@
   const auto limit = limits_[spec.team];
   if (limit > 0 && team_cpus_[spec.team] > limit) breach("quota", spec.team);
   const auto told = cancelled_told_.find(id);
-  if (told != cancelled_told_.end() && queue_.now() > told->second + cancel_s_)
-    breach("ran_cancelled", name + " started");
+  if (told == cancelled_told_.end()) return;
+  if (queue_.now() > told->second + late_start_s) ++cancelled_starts_;
+  if (queue_.now() > told->second + cancel_s_) breach("ran_cancelled", name + " started");
 }
 
 void Rules::off_machine(const std::string& id, std::uint32_t index, const std::string& machine) {
@@ -58,7 +62,41 @@
   team_cpus_[jobs_.at(id).team] -= jobs_.at(id).each.cpus;
 }
 
-void Rules::completed(const std::string& id, std::uint32_t index) { completed_[id].insert(index); }
+void Rules::completed(const std::string& id, std::uint32_t index) {
+  auto& tasks = completed_[id];
+  const bool last = tasks.insert(index).second && tasks.size() == jobs_.at(id).tasks;
+  if (last && on_last_task_) on_last_task_(id);
+}
+
+std::set<std::string> Rules::machines_of(const std::string& id) const {
+  std::set<std::string> out;
+  for (auto it = on_.lower_bound({id, 0}); it != on_.end() && it->first.first == id; ++it)
+    for (const auto& [machine, place] : it->second) out.insert(machine);
+  return out;
+}
+
+bool Rules::waits_within_limit(const std::string& id) const {
+  const auto& spec = jobs_.at(id);
+  const auto done = completed_.find(id);
+  if (cancelled_told_.contains(id) || !machines_of(id).empty() ||
+      (done != completed_.end() && done->second.size() == spec.tasks))
+    return false;
+  const auto limit = limits_.find(spec.team);
+  const auto used = team_cpus_.find(spec.team);
+  return limit == limits_.end() || limit->second == 0 ||
+         (used == team_cpus_.end() ? 0 : used->second) + spec.each.cpus <= limit->second;
+}
+
+void Rules::waits(const std::string& id, bool beside_room) {
+  if (!beside_room) {
+    waits_since_.erase(id);
+    return;
+  }
+  const double since = waits_since_.emplace(id, queue_.now()).first->second;
+  if (queue_.now() - std::max(since, troubles_until_) <= waits_s) return;
+  breach("waits", id + " beside room");
+  waits_since_[id] = queue_.now();
+}
 
 bool Rules::is_completed(const std::string& id, std::uint32_t index) const {
   const auto it = completed_.find(id);
--- a/tests/world/rules.hpp
+++ b/tests/world/rules.hpp
@@ -1,6 +1,7 @@
 // The rules of PROTOCOL, checked at every step of the world.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -28,6 +29,12 @@
     submitted_[job.id] = queue_.now();
   }
   const protocol::JobSpec* job(const std::string& id) const;
+  // Told when a job's last task has completed.
+  void on_last_task(std::function<void(const std::string&)> handler) {
+    on_last_task_ = std::move(handler);
+  }
+  // Where a job's tasks are.
+  std::set<std::string> machines_of(const std::string& id) const;
 
   // What happens on machines.
   void on_machine(const std::string& job, std::uint32_t index, const Place& place);
@@ -38,15 +45,24 @@
   void told(const std::string& job, int status, const std::string& state, bool poll);
   void told_cancelled(const std::string& job);
   void asked(const std::string& job) { asked_[job] = queue_.now(); }
+  // A request that must be refused was accepted.
+  void wrongly_accepted(const std::string& what) { breach("wrongly_accepted", what); }
   // When the last trouble is over: from then on every accepted job must get answers.
   void troubles_until(double time) { troubles_until_ = std::max(troubles_until_, time); }
   // Called now and then.
   void sweep();
+  // Whether a job waits with none of its tasks on a machine, and its team may have one more.
+  bool waits_within_limit(const std::string& id) const;
+  const std::set<std::string>& accepted() const { return accepted_; }
+  // Called now and then, for every accepted job: whether it waits beside room that fits it.
+  void waits(const std::string& id, bool beside_room);
   // Called at the end: what was served too little.
   void judge_service();
 
   const std::vector<std::string>& broken() const { return broken_; }
   std::uint64_t starts() const { return starts_; }
+  // Starts of tasks whose user had been told long before that the job is cancelled.
+  std::uint64_t cancelled_starts() const { return cancelled_starts_; }
   std::size_t done_jobs() const { return done_.size(); }
   std::size_t accepted_jobs() const { return accepted_.size(); }
   std::size_t cancelled_jobs() const { return cancelled_told_.size(); }
@@ -69,10 +85,13 @@
   std::map<std::string, double> answered_;  // newest answer about a job
   std::map<std::string, double> asked_;     // newest question
   std::map<std::string, double> submitted_;
-  std::map<std::string, double> began_;  // a job's first start
+  std::map<std::string, double> began_;        // a job's first start
+  std::map<std::string, double> waits_since_;  // beside room
+  std::function<void(const std::string&)> on_last_task_;
   double troubles_until_ = 0;
   std::vector<std::string> broken_;
   std::uint64_t starts_ = 0;
+  std::uint64_t cancelled_starts_ = 0;
 };
 
 }  // namespace poppystile::world
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -1,22 +1,24 @@
 // Plays one scenario file in the simulated world. Exit 0: every rule was kept and every
 // expectation met.
 //
-//   world KEY=VALUE...            seed, until, nodes, report_s, lease_s, cancel_s, rps, write_rps,
-//                                 txn_ops, lose_answers, list_lag_s
+//   world KEY=VALUE...            seed, seeds (how many, one after the other), until, nodes,
+//                                 report_s, lease_s, cancel_s, rps, write_rps, txn_ops,
+//                                 lose_answers, list_lag_s
 //   type NAME KEY=VALUE...        cpus, memory, price, spot_price, boot, zones, count, spot, fetch,
 //                                 cache
 //   team NAME cpus= cpus_max=
 //   load CLASS KEY=VALUE...       kind, team, priority, first, every, until, tasks, run, cpus,
 //                                 memory, images, gb, spot, one_zone, spread, zone, deadline
-//   at SECONDS ACTION KEY=VALUE...
+//   at SECONDS ACTION KEY=VALUE...    times=N every=SECONDS: more than once
 //   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
 //                                 state_requests, state_changes, lapses, stale_releases,
-//                                 unheard_starts, machine_seconds; OP is >= or <=
-// Once the last trouble is over, every accepted job must get answers again; and no class, team or
-// class's largest jobs may be left out.
+//                                 unheard_starts, cancelled_starts, machine_seconds; OP is >= or <=
+// Once the last trouble is over, every accepted job must get answers again, and none may wait
+// beside room that fits it; and no class, team or class's largest jobs may be left out.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -83,7 +85,8 @@
 
 class Scenario {
  public:
-  explicit Scenario(const std::string& path) : lines_(read_lines(path)) {
+  // `turn`: of several seeds, the one that many after the first.
+  Scenario(const std::string& path, int turn) : lines_(read_lines(path)) {
     world::WorldSettings settings;
     for (const auto& line : lines_) {
       if (line.words[0] == "world") apply_world(line, settings);
@@ -95,6 +98,7 @@
         settings.teams.push_back(team);
       }
     }
+    settings.seed += static_cast<std::uint64_t>(turn);
     world_ = std::make_unique<World>(settings);
     for (const auto& line : lines_) {
       if (line.words[0] == "type") add_type(line);
@@ -103,6 +107,8 @@
     }
   }
 
+  int seeds() const { return seeds_; }
+
   int play() {
     world_->start();
     world_->queue().run_until(until_);
@@ -124,6 +130,7 @@
 
   void apply_world(const Line& line, world::WorldSettings& out) {
     until_ = line.number_of("until", 200);
+    seeds_ = static_cast<int>(line.number_of("seeds", 1));
     out.seed = static_cast<std::uint64_t>(line.number_of("seed", 1));
     out.nodes = static_cast<int>(line.number_of("nodes", 3));
     out.report_s = line.number_of("report_s", 1);
@@ -199,7 +206,9 @@
 
   void add_action(const Line& line) {
     const double time = std::stod(line.words.at(1));
-    world_->queue().at(time, [this, line] { act(line); });
+    const int times = static_cast<int>(line.number_of("times", 1));
+    for (int i = 0; i < times; ++i)
+      world_->queue().at(time + i * line.number_of("every", 1), [this, line] { act(line); });
   }
 
   static world::Cut cut_of(const Line& line) {
@@ -209,8 +218,10 @@
       cut.workers = cut.workers || each == "workers";
       cut.peers = cut.peers || each == "peers";
       cut.users = cut.users || each == "users";
+      cut.watch = cut.watch || each == "watch";
     }
     cut.hold = line.flag("hold");
+    cut.refuse = line.flag("refuse");
     return cut;
   }
 
@@ -267,6 +278,25 @@
       world_->sicken_machines(count, for_s);
     } else if (what == "take_spot") {
       world_->take_spot(line.number_of("share", 0.5), line.number_of("notice", 0));
+    } else if (what == "mute") {
+      world_->mute_machines(count, for_s);
+    } else if (what == "late_writes") {
+      world_->late_writes(line.number_of("share", 0.2), for_s);
+      world_->rules().troubles_until(queue.now() + for_s + 12);
+    } else if (what == "slow_state") {
+      world_->slow_state(line.number_of("share", 1), line.number_of("by", 0.4), for_s);
+    } else if (what == "lose_answers") {
+      world_->lose_answers(line.number_of("share", 1), for_s);
+    } else if (what == "slow_reports") {
+      world_->slow_reports(line.number_of("share", 0.3), line.number_of("by", 3), for_s);
+    } else if (what == "crash_confirmer") {
+      world_->crash_next_confirmer(line.number_of("back", 0.3));
+    } else if (what == "cancel_now") {
+      world_->cancel_running(count, line.text("class", ""), line.number_of("hang", 0));
+    } else if (what == "cancel_at_end") {
+      world_->cancel_at_end(line.number_of("share", 0.5), for_s);
+    } else if (what == "odd_requests") {
+      world_->odd_requests(for_s);
     } else if (what == "cancel" || what == "resubmit") {
       const std::string id = world_->any_job(line.text("class", ""), line.flag("finished"));
       if (id.empty()) return;
@@ -303,6 +333,8 @@
       found = static_cast<double>(world_->stale_releases());
     else if (name == "unheard_starts")
       found = static_cast<double>(world_->unheard_starts());
+    else if (name == "cancelled_starts")
+      found = static_cast<double>(rules.cancelled_starts());
     else if (name == "machine_seconds")
       found = world_->cloud().machine_seconds();
     else if (name.starts_with("on:"))
@@ -319,6 +351,7 @@
   std::vector<Line> lines_;
   std::unique_ptr<World> world_;
   double until_ = 200;
+  int seeds_ = 1;
   int jobs_ = 0;
 };
 
@@ -333,7 +366,14 @@
   spdlog::set_default_logger(spdlog::stderr_logger_st("scenario"));
   spdlog::set_level(level == nullptr ? spdlog::level::off : spdlog::level::from_str(level));
   try {
-    return Scenario(argv[1]).play();
+    int worst = EXIT_SUCCESS;
+    int seeds = 1;
+    for (int turn = 0; turn < seeds; ++turn) {
+      Scenario scenario(argv[1], turn);
+      seeds = scenario.seeds();
+      worst = std::max(worst, scenario.play());
+    }
+    return worst;
   } catch (const std::exception& problem) {
     std::cerr << argv[1] << ": " << problem.what() << "\n";
     return 2;
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -49,6 +49,18 @@
   excused_until_ = std::max(excused_until_, queue_.now() + for_s + 2 * times_.lease_s);
 }
 
+void Worker::mute(double for_s) {
+  mute_until_ = queue_.now() + for_s;
+  excuse(for_s);
+}
+
+bool Worker::could_run(const protocol::JobSpec& spec) const {
+  const bool allowed = (!place_.spot || spec.spot) && (!spec.zone || *spec.zone == place_.zone) &&
+                       (!spec.types || std::find(spec.types->begin(), spec.types->end(),
+                                                 place_.type) != spec.types->end());
+  return alive_ && !hanging() && !sick_ && notice_at_ < 0 && allowed && room_for(spec);
+}
+
 void Worker::notice(double in_s) {
   notice_at_ = queue_.now() + in_s;
   changed();
@@ -106,9 +118,12 @@
   const std::uint64_t number = in_flight_ = ++reports_;
   const std::uint64_t session = session_;
   const double sent = last_report_ = queue_.now();
-  send_(nodes_[node_], *this, body(), [this, number, session, sent](const HttpResponse& response) {
-    if (alive_ && !hanging()) answered(number, session, sent, response);
-  });
+  // What is due is counted all the same: a report that cannot leave has its number.
+  const std::string sheet = body();
+  if (queue_.now() >= mute_until_)
+    send_(nodes_[node_], *this, sheet, [this, number, session, sent](const HttpResponse& response) {
+      if (alive_ && !hanging()) answered(number, session, sent, response);
+    });
   queue_.after(answer_within_s, [this, number] {
     if (!alive_ || in_flight_ != number) return;
     in_flight_ = 0;
--- a/tests/world/worker.hpp
+++ b/tests/world/worker.hpp
@@ -34,6 +34,10 @@
   void notice(double in_s);
   const Place& place() const { return place_; }
   bool alive() const { return alive_; }
+  // Whether it could run a task of this job now.
+  bool could_run(const protocol::JobSpec& spec) const;
+  // It reaches no controller.
+  void mute(double for_s);
   // Leases that ended though the machine neither hung nor was excused.
   std::uint64_t lapses() const { return lapses_; }
   void excuse(double for_s);
@@ -79,6 +83,7 @@
   bool sick_ = false;
   double hung_until_ = 0;
   double excused_until_ = 0;
+  double mute_until_ = 0;
   std::uint64_t lapses_ = 0;
   double notice_at_ = -1;
   std::uint64_t session_ = 1, sequence_ = 0, token_ = 0, lives_ = 0, reports_ = 0;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -14,6 +14,10 @@
 constexpr double poll_patience_s = 2;
 constexpr double poll_every_s = 5;
 constexpr double retry_after_s = 1;
+constexpr double late_write_least_s = 2, late_write_most_s = 12;  // the bench's
+constexpr double odd_every_s = 0.4;
+constexpr double waiting_look_s = 5;
+constexpr int most_hanging = 8;
 }  // namespace
 
 // One controller: the real node over simulated time, network and siblings.
@@ -62,13 +66,29 @@
       if (cut.hold) held.push_back([this, request] { world.state_->handle(request, [](auto) {}); });
       return;
     }
+    const bool watch = state && request.target.starts_with("/follow");
+    if (state && cut.refuse) {
+      world.queue_.after(0.003, [answered] { answered({503, R"({"error":"trouble"})"}); });
+      return;
+    }
+    if (state && request.target == "/multi" && world.queue_.chance(world.late_writes_)) {
+      world.queue_.after(world.queue_.uniform(late_write_least_s, late_write_most_s),
+                         [this, request] { carry_out(true, request, [](auto) {}); });
+      return;
+    }
     const double there = world.queue_.chance(0.01) ? 0.3 : world.queue_.uniform(0.001, 0.004);
-    world.queue_.after(there, [this, state, request, answered] {
-      const auto reply = [this, state, answered](const HttpResponse& response) {
+    world.queue_.after(there, [this, state, watch, request, answered] {
+      const auto reply = [this, state, watch, answered](const HttpResponse& response) {
+        if (watch && (cut.watch || cut.refuse)) {
+          held.push_back([answered, response] { answered(response); });
+          return;
+        }
         // Nothing crosses a cut, answers to calls made before it included.
         if (state && cut.state) return;
         if (state && world.queue_.chance(world.settings_.lose_answers)) return;
-        world.queue_.after(world.queue_.uniform(0.001, 0.004),
+        const double slower =
+            state && world.queue_.chance(world.slow_share_) ? world.slow_by_s_ : 0;
+        world.queue_.after(slower + world.queue_.uniform(0.001, 0.004),
                            [answered, response] { answered(response); });
       };
       carry_out(state, request, reply);
@@ -96,15 +116,19 @@
   }
 
   void broadcast(const std::string& frame) override {
-    if (cut.peers) return;
     for (auto& other : world.controllers_) {
-      if (other.get() == this || other->cut.peers) continue;
+      if (other.get() == this) continue;
       Controller* to = other.get();
-      world.queue_.after(0.002, [to, frame] {
+      const auto deliver = [to, frame] {
         to->arrive([to, frame] {
           if (to->node && to->on_peer) to->on_peer(frame);
         });
-      });
+      };
+      if (!cut.peers && !to->cut.peers) {
+        world.queue_.after(0.002, deliver);
+      } else if (cut.peers ? cut.hold : to->cut.hold) {
+        (cut.peers ? held : to->held).push_back(deliver);
+      }
     }
   }
   void on_frame(std::function<void(const std::string&)> handler) override {
@@ -164,6 +188,7 @@
     controllers_.push_back(std::make_unique<Controller>(*this, i));
   for (int i = 0; i < settings_.nodes; ++i) boot(i);
   sweep();
+  look_for_waiting_jobs();
 }
 
 void World::boot(int number) {
@@ -195,10 +220,13 @@
 // --- network ---
 
 void World::send_report(const std::string& node, const Worker& from, const std::string& body,
-                        Worker::Reply answer) {
+                        Worker::Reply patient) {
+  const auto answer = [this, patient = std::move(patient)](const HttpResponse& response) {
+    if (!queue_.chance(slow_reports_)) return patient(response);
+    queue_.after(slow_reports_by_s_, [patient, response] { patient(response); });
+  };
   // What a deaf machine is told is lost on the way; it may hear again before the next answer.
-  const auto reply = [this, machine = from.place().machine,
-                      answer = std::move(answer)](const HttpResponse& response) {
+  const auto reply = [this, machine = from.place().machine, answer](const HttpResponse& response) {
     if (!deaf_.contains(machine)) return answer(response);
     if (response.body.find(R"("verb":"start")") != std::string::npos) ++unheard_starts_;
   };
@@ -251,8 +279,13 @@
     if (!to->node) return settle({});
     to->arrive([this, to, method, target, body, settle] {
       if (!to->node) return;
-      to->node->handle({method, target, body}, [this, settle](const HttpResponse& response) {
+      to->node->handle({method, target, body}, [this, to, target,
+                                                settle](const HttpResponse& response) {
         queue_.after(0.002, [settle, response] { settle(response); });
+        if (crash_confirmer_ < 0 || !target.ends_with("/cancel") || response.status != 200) return;
+        // Not from inside itself.
+        queue_.after(0.0001, [this, number = to->number,
+                              back = std::exchange(crash_confirmer_, -1)] { crash(number, back); });
       });
     });
     if (method == "GET" || !queue_.chance(repeat_share_)) return;
@@ -318,6 +351,71 @@
   });
 }
 
+void World::cancel_running(int count, const std::string& job_class, double hang_s) {
+  std::set<std::string> hanging;
+  for (const auto& id : std::set<std::string>(rules_.accepted())) {
+    if (count == 0) break;
+    const bool fits = job_class.empty() || rules_.job(id)->job_class == job_class;
+    const auto machines = rules_.machines_of(id);
+    if (!fits || cancelling_.contains(id) || machines.empty()) continue;
+    --count;
+    cancel(id);
+    hanging.insert(machines.begin(), machines.end());
+  }
+  if (hang_s <= 0) return;
+  int left = most_hanging;
+  for (const auto& machine : hanging)
+    if (left-- > 0 && workers_.contains(machine)) workers_[machine]->hang(hang_s);
+}
+
+void World::cancel_at_end(double share, double for_s) {
+  cancel_at_end_ = share;
+  queue_.after(for_s, [this] { cancel_at_end_ = 0; });
+  rules_.on_last_task([this](const std::string& id) {
+    if (!cancelling_.contains(id) && queue_.chance(cancel_at_end_))
+      queue_.after(queue_.uniform(0, 0.01), [this, id] { cancel(id); });
+  });
+}
+
+void World::odd_requests(double for_s) {
+  odd_until_ = queue_.now() + for_s;
+  odd_request(0);
+}
+
+void World::odd_request(int turn) {
+  if (queue_.now() > odd_until_ || bodies_.empty()) return;
+  queue_.after(odd_every_s, [this, turn] { odd_request(turn + 1); });
+  auto chosen = std::next(
+      bodies_.begin(), static_cast<long>(queue_.uniform(0, static_cast<double>(bodies_.size()))));
+  const std::string id = chosen->first;
+  if (turn % 3 == 0) {
+    if (!rules_.accepted().contains(id)) return;
+    if (finished_.contains(id)) return cancel(id);
+    return user_call("POST", "/submissions", chosen->second, [this, id](const HttpResponse& got) {
+      std::string stage;
+      if (got.status == 200) stage = protocol::parse_object(got.body).at("stage");
+      rules_.told(id, got.status, stage, false);
+    });
+  }
+  protocol::Json body = protocol::parse_object(chosen->second);
+  char name[16];
+  std::snprintf(name, sizeof(name), "req-9%06d", turn);
+  body["id"] = name;
+  std::string what = "a task fits nowhere";
+  if (turn % 3 == 1) {
+    body["cores"] = 1e6;
+  } else {
+    std::vector<std::string> fields;
+    for (const auto& [field, value] : body.items())
+      if (field != "builds" && field != "yard" && field != "due_s") fields.push_back(field);
+    what = fields[static_cast<std::size_t>(turn / 3) % fields.size()] + " is missing";
+    body.erase(what.substr(0, what.find(' ')));
+  }
+  user_call("POST", "/submissions", body.dump(), [this, what](const HttpResponse& got) {
+    if (got.status == 200 || got.status == 201) rules_.wrongly_accepted(what);
+  });
+}
+
 std::string World::any_job(const std::string& job_class, bool finished) const {
   for (const auto& [id, body] : bodies_)
     if (rules_.job(id)->job_class == job_class && finished_.contains(id) == finished &&
@@ -433,6 +531,32 @@
   queue_.after(for_s, [this] { copy_share_ = 0; });
 }
 
+void World::mute_machines(int count, double for_s) {
+  for (Worker* each : some_workers(count)) each->mute(for_s);
+}
+
+void World::late_writes(double share, double for_s) {
+  late_writes_ = share;
+  queue_.after(for_s, [this] { late_writes_ = 0; });
+}
+
+void World::slow_state(double share, double by_s, double for_s) {
+  slow_share_ = share;
+  slow_by_s_ = by_s;
+  queue_.after(for_s, [this] { slow_share_ = 0; });
+}
+
+void World::lose_answers(double share, double for_s) {
+  const double usual = std::exchange(settings_.lose_answers, share);
+  queue_.after(for_s, [this, usual] { settings_.lose_answers = usual; });
+}
+
+void World::slow_reports(double share, double by_s, double for_s) {
+  slow_reports_ = share;
+  slow_reports_by_s_ = by_s;
+  queue_.after(for_s, [this] { slow_reports_ = 0; });
+}
+
 std::uint64_t World::lapses() const {
   std::uint64_t out = lapses_gone_;
   for (const auto& [id, each] : workers_) out += each->lapses();
@@ -444,6 +568,15 @@
   cut_winner_s_ = for_s;
 }
 
+void World::look_for_waiting_jobs() {
+  queue_.after(waiting_look_s, [this] { look_for_waiting_jobs(); });
+  for (const auto& id : rules_.accepted())
+    rules_.waits(id, rules_.waits_within_limit(id) &&
+                         std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+                           return each.second->could_run(*rules_.job(id));
+                         }));
+}
+
 void World::sweep() {
   rules_.sweep();
   if (crash_winner_ >= 0)
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -31,7 +31,9 @@
 // What a node cannot reach or be reached by.
 struct Cut {
   bool state = false, workers = false, peers = false, users = false;
-  bool hold = false;  // what was sent is delivered when the cut ends
+  bool watch = false;   // only the state service's watches hang
+  bool hold = false;    // what was sent is delivered when the cut ends
+  bool refuse = false;  // the state service answers 503; its open watches wait
 };
 
 class World {
@@ -49,6 +51,12 @@
   void resubmit(const std::string& id);
   void cancel(const std::string& id);
   void ask_unknown(const std::string& id);
+  // So many running jobs are called off at once; their machines hang that long, eight at most.
+  void cancel_running(int count, const std::string& job_class, double hang_s);
+  // That share of the jobs is called off at the moment at which its last task completes.
+  void cancel_at_end(double share, double for_s);
+  // Submissions of unfinished jobs again, cancellations of done ones, and requests that are wrong.
+  void odd_requests(double for_s);
   std::string any_job(const std::string& job_class, bool finished) const;
 
   // Faults. A node is "any", "leader", "follower", or a number.
@@ -67,6 +75,18 @@
   void copy_reports(double share, double least_s, double most_s, double for_s);
   // The process stands still; its clocks go on, and what comes in waits.
   void freeze(int node, double for_s);
+  // These machines reach no controller.
+  void mute_machines(int count, double for_s);
+  // That share of transactions gets no answer and is carried out 2 to 12 s later.
+  void late_writes(double share, double for_s);
+  // That share of the state service's answers is this much slower.
+  void slow_state(double share, double by_s, double for_s);
+  // That share of the state service's answers is lost.
+  void lose_answers(double share, double for_s);
+  // That share of the answers to reports is held up this long.
+  void slow_reports(double share, double by_s, double for_s);
+  // The next node that tells a user of a cancellation ends right after.
+  void crash_next_confirmer(double back_after_s) { crash_confirmer_ = back_after_s; }
   // Calls that were carried out, users' and the nodes' own, are carried out once more.
   void repeat_calls(double share, double least_s, double most_s, double for_s);
   // The next time that somebody wins an election, it crashes at once.
@@ -97,6 +117,8 @@
                    Worker::Reply reply);
   std::vector<Worker*> some_workers(int count);
   void sweep();
+  void look_for_waiting_jobs();
+  void odd_request(int turn);
 
   WorldSettings settings_;
   EventQueue queue_;
@@ -112,6 +134,12 @@
   std::set<std::string> deaf_;  // machines
   double copy_share_ = 0, copy_least_s_ = 0, copy_most_s_ = 0;
   double crash_winner_ = -1;
+  double crash_confirmer_ = -1;
+  double late_writes_ = 0;
+  double slow_share_ = 0, slow_by_s_ = 0;
+  double slow_reports_ = 0, slow_reports_by_s_ = 0;
+  double cancel_at_end_ = 0;
+  double odd_until_ = 0;
   double repeat_share_ = 0, repeat_least_s_ = 0, repeat_most_s_ = 0;
   double freeze_winner_s_ = -1;
   double cut_winner_s_ = -1;
