--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -13,8 +13,9 @@
 //   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
 //                                 state_requests, state_changes, lapses, stale_releases,
 //                                 unheard_starts, cancelled_starts, machine_seconds; OP is >= or <=
-// Once the last trouble is over, every accepted job must get answers again, and none may wait
-// beside room that fits it; and no class, team or class's largest jobs may be left out.
+// A node is any, leader, follower, others (all but the leader, for cuts), all (for crashes) or a
+// number. Once the last trouble is over, every accepted job must get answers again, and none may
+// wait beside room that fits it; and no class, team or class's largest jobs may be left out.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -248,10 +249,13 @@
       world_->cloud().set_boot_failures(line.number_of("share", 0.5));
       queue.after(for_s, [this] { world_->cloud().set_boot_failures(0); });
     } else if (what == "cut") {
-      const world::Cut cut = cut_of(line);
-      const int node = world_->pick_node(line.text("node", "leader"));
-      world_->cut(node, cut);
-      queue.after(for_s, [this, node] { world_->heal(node); });
+      const std::string which = line.text("node", "leader");
+      std::vector<int> nodes = {world_->pick_node(which == "others" ? "leader" : which)};
+      if (which == "others") nodes = world_->all_but(nodes.front());
+      for (const int node : nodes) {
+        world_->cut(node, cut_of(line));
+        queue.after(for_s, [this, node] { world_->heal(node); });
+      }
     } else if (what == "freeze") {
       world_->freeze(world_->pick_node(line.text("node", "leader")), for_s);
     } else if (what == "freeze_winner") {
@@ -289,6 +293,8 @@
       world_->lose_answers(line.number_of("share", 1), for_s);
     } else if (what == "slow_reports") {
       world_->slow_reports(line.number_of("share", 0.3), line.number_of("by", 3), for_s);
+    } else if (what == "slow_frames") {
+      world_->slow_frames(line.number_of("by", 5), for_s);
     } else if (what == "crash_confirmer") {
       world_->crash_next_confirmer(line.number_of("back", 0.3));
     } else if (what == "cancel_now") {
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -125,7 +125,7 @@
         });
       };
       if (!cut.peers && !to->cut.peers) {
-        world.queue_.after(0.002, deliver);
+        world.queue_.after(0.002 + world.slow_frames_by_s_, deliver);
       } else if (cut.peers ? cut.hold : to->cut.hold) {
         (cut.peers ? held : to->held).push_back(deliver);
       }
@@ -440,6 +440,13 @@
   return std::stoi(which);
 }
 
+std::vector<int> World::all_but(int node) const {
+  std::vector<int> out;
+  for (const auto& each : controllers_)
+    if (each->number != node) out.push_back(each->number);
+  return out;
+}
+
 void World::crash(int number, double back_after_s) {
   Controller& self = *controllers_[static_cast<std::size_t>(number)];
   if (!self.node) return;
@@ -551,6 +558,11 @@
   queue_.after(for_s, [this, usual] { settings_.lose_answers = usual; });
 }
 
+void World::slow_frames(double by_s, double for_s) {
+  slow_frames_by_s_ = by_s;
+  queue_.after(for_s, [this] { slow_frames_by_s_ = 0; });
+}
+
 void World::slow_reports(double share, double by_s, double for_s) {
   slow_reports_ = share;
   slow_reports_by_s_ = by_s;
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -61,6 +61,7 @@
 
   // Faults. A node is "any", "leader", "follower", or a number.
   int pick_node(const std::string& which);
+  std::vector<int> all_but(int node) const;
   void crash(int node, double back_after_s);
   void cut(int node, const Cut& cut);
   void heal(int node);
@@ -85,6 +86,8 @@
   void lose_answers(double share, double for_s);
   // That share of the answers to reports is held up this long.
   void slow_reports(double share, double by_s, double for_s);
+  // Frames between controllers arrive this much later.
+  void slow_frames(double by_s, double for_s);
   // The next node that tells a user of a cancellation ends right after.
   void crash_next_confirmer(double back_after_s) { crash_confirmer_ = back_after_s; }
   // Calls that were carried out, users' and the nodes' own, are carried out once more.
@@ -139,6 +142,7 @@
   double slow_share_ = 0, slow_by_s_ = 0;
   double slow_reports_ = 0, slow_reports_by_s_ = 0;
   double cancel_at_end_ = 0;
+  double slow_frames_by_s_ = 0;
   double odd_until_ = 0;
   double repeat_share_ = 0, repeat_least_s_ = 0, repeat_most_s_ = 0;
   double freeze_winner_s_ = -1;
