--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -82,24 +82,30 @@
   Plan run() {
     std::vector<const Job*> services;
     std::map<int, std::vector<const Job*>, std::greater<>> arrays;
+    std::vector<const Job*> starved;
     for (const auto& [id, job] : model_.jobs) {
       if (job.record.cancelled || job.waiting() == 0) continue;
       if (job.retry_at_s > context_.now_s) continue;
       if (job.spec().kind == JobKind::service) {
         services.push_back(&job);
+      } else if (has_starved(job)) {
+        starved.push_back(&job);
       } else {
         arrays[static_cast<int>(job.spec().priority)].push_back(&job);
       }
     }
-    if (services.empty() && arrays.empty()) return {};
+    if (services.empty() && arrays.empty() && starved.empty()) return {};
     find_guaranteed();
     for (const auto& [id, machine] : model_.machines)
       if (takes_tasks(machine, context_.now_s)) slots_.push_back(slot_of(machine));
     for (const auto& [priority, batch] : arrays)
       for (const Job* job : batch) turns_[job] = turn_of(*job);
+    std::stable_sort(starved.begin(), starved.end(), earlier);
     const auto comes_first = [this](const Job* a, const Job* b) { return before(a, b); };
     std::stable_sort(services.begin(), services.end(), comes_first);
     for (const Job* job : services) place_service(*job);
+    // The first of jobs that have waited long, of whatever priority: nothing may starve.
+    place_batches(starved);
     for (auto& [priority, batch] : arrays) {
       std::stable_sort(batch.begin(), batch.end(), comes_first);
       place_batches(batch);
@@ -126,11 +132,9 @@
   }
 
   // Arrays that can still be nearly in time go by the latest start that is; what is overdue goes
-  // after them, by age. Before all of them comes the first of a job that has waited long and has
-  // not begun, so that nothing starves.
+  // after them, by age.
   Turn turn_of(const Job& job) const {
     const double submitted = job.record.accepted_wall_s;
-    if (has_starved(job)) return {0, submitted};
     const double due = constants::late_due *
                        due_s(job.spec(), *context_.finish_aims).value_or(constants::default_due_s);
     const double latest = submitted + due - believed_run_s(job.spec());
