--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -236,8 +236,7 @@
     model_->machines.at(id).releasing = true;
     to_release_.insert(id);
   }
-  if (plan.undrain)
-    for (auto& [id, machine] : model_->machines) machine.draining = false;
+  for (const auto& id : plan.undrain) model_->machines.at(id).draining = false;
   // Until demand has been seen for a while nobody knows what is too much.
   if (context.now_s - began_s_ < properties_.idle_keep_s) return;
   for (const auto& id : plan.drain) {
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 
 #include "constants.hpp"
@@ -61,10 +62,8 @@
     pack_reserve(jobs);
     FleetPlan plan;
     plan.demand_cpus = demand_;
-    if (!hires_.empty() && draining_) {
-      plan.undrain = true;
-      return plan;
-    }
+    plan.undrain = draining_for(jobs);
+    if (!plan.undrain.empty()) return plan;
     for (const auto& [offer, count] : hires_)
       plan.hire.push_back({offer, std::min(count, constants::max_hire)});
     std::stable_sort(plan.hire.begin(), plan.hire.end(),
@@ -137,7 +136,10 @@
     }
     while (count > 0) {
       const auto offer = cheapest(spec, urgent);
-      if (!offer) return;
+      if (!offer) {
+        if (urgent) unplaced_.insert(spec.id);
+        return;
+      }
       add_bin(*offer);
       const auto placed = fill(bins_.back(), spec, count);
       if (placed == 0) return;
@@ -153,6 +155,22 @@
     return fits;
   }
 
+  // Draining machines that are wanted again: all of them when others would have to be rented, and
+  // those that fit what cannot be rented, since a machine that cannot be emptied drains for ever.
+  std::vector<std::string> draining_for(const std::vector<const Job*>& jobs) const {
+    std::vector<std::string> out;
+    if (!draining_) return out;
+    for (const auto& [id, machine] : model_.machines) {
+      if (!machine.draining || !counts(machine)) continue;
+      const auto takes = [&](const Job* job) {
+        return unplaced_.contains(job->spec().id) && may_run_on(job->spec(), machine) &&
+               job->spec().each.fits(machine.room());
+      };
+      if (!hires_.empty() || std::any_of(jobs.begin(), jobs.end(), takes)) out.push_back(id);
+    }
+    return out;
+  }
+
   std::optional<Offer> cheapest(const JobSpec& spec, bool urgent) const {
     std::optional<Offer> best;
     double least = 0;
@@ -303,6 +321,7 @@
   std::map<Offer, int> present_;  // there or booting
   std::map<Offer, int> hires_;
   std::map<std::string, std::int64_t> team_left_;
+  std::set<std::string> unplaced_;  // jobs for which there is no room and no offer
   std::int64_t demand_ = 0;
   bool draining_ = false;
 };
--- a/src/planning/fleet.hpp
+++ b/src/planning/fleet.hpp
@@ -28,9 +28,9 @@
 struct FleetPlan {
   std::vector<WantedMachines> hire;
   std::vector<std::string> release;
-  std::vector<std::string> drain;  // take nothing more
-  bool undrain = false;            // draining machines are wanted after all
-  std::int64_t demand_cpus = 0;    // thousandths: in use, wanted now, and the reserve
+  std::vector<std::string> drain;    // take nothing more
+  std::vector<std::string> undrain;  // wanted after all
+  std::int64_t demand_cpus = 0;      // thousandths: in use, wanted now, and the reserve
 };
 
 struct FleetContext {
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "constants.hpp"
 #include "planning/fleet.hpp"
 
 namespace poppystile::planning {
@@ -229,6 +230,44 @@
   EXPECT_TRUE(plan().placements.empty());
 }
 
+// Lower work once waited for ever beside a stream of higher work.
+TEST_F(PlannerTest, AStarvedJobOfLowerPriorityBeginsFirst) {
+  add(model, spec("req-1", JobKind::array, 50, Priority::normal));
+  JobSpec spare = spec("req-2", JobKind::array, 40, Priority::low);
+  spare.image = "other";
+  add(model, spare);
+  add(model, "a1", 16);
+  const auto of_spare = [&] {
+    const Plan made = plan();
+    return std::count_if(made.placements.begin(), made.placements.end(),
+                         [](const auto& each) { return each.job == "req-2"; });
+  };
+  model.jobs.at("req-1").record.accepted_wall_s = now_wall - 10;
+  model.jobs.at("req-2").record.accepted_wall_s = now_wall - constants::starved_s + 1;
+  EXPECT_EQ(of_spare(), 0);
+  model.jobs.at("req-2").record.accepted_wall_s = now_wall - constants::starved_s - 1;
+  EXPECT_EQ(of_spare(), 3);  // a twentieth of it, and one
+}
+
+// A machine whose replicas fit nowhere else never runs empty; what waited for its room, where
+// nothing could be rented, waited for ever.
+TEST(Fleet, ADrainingMachineTakesWhatCannotBeRented) {
+  Model model;
+  add(model, spec("req-1", JobKind::array, 4, Priority::normal));
+  Machine& draining = add(model, "a1", 16);
+  draining.draining = true;
+  const std::vector<protocol::MachineType> types = {
+      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
+  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
+  FleetContext context;
+  context.types = &types;
+  context.teams = &teams;
+  context.refused = {{"t", "a", true}, {"t", "a", false}};
+  EXPECT_EQ(plan_fleet(model, context).undrain, std::vector<std::string>{"a1"});
+  model.jobs.at("req-1").record.spec.zone = "b";
+  EXPECT_TRUE(plan_fleet(model, context).undrain.empty());
+}
+
 TEST(Fleet, RentsTheCheapestAllowedAndSkipsWhatWasRefused) {
   Model model;
   JobSpec job = spec("req-1", JobKind::array, 8, Priority::normal);
--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -87,14 +87,14 @@
          (used == team_cpus_.end() ? 0 : used->second) + spec.each.cpus <= limit->second;
 }
 
-void Rules::waits(const std::string& id, bool beside_room) {
-  if (!beside_room) {
+void Rules::waits(const std::string& id, const std::string& beside) {
+  if (beside.empty()) {
     waits_since_.erase(id);
     return;
   }
   const double since = waits_since_.emplace(id, queue_.now()).first->second;
   if (queue_.now() - std::max(since, troubles_until_) <= waits_s) return;
-  breach("waits", id + " beside room");
+  breach("waits", std::string(id).append(" beside room on ").append(beside));
   waits_since_[id] = queue_.now();
 }
 
--- a/tests/world/rules.hpp
+++ b/tests/world/rules.hpp
@@ -54,8 +54,9 @@
   // Whether a job waits with none of its tasks on a machine, and its team may have one more.
   bool waits_within_limit(const std::string& id) const;
   const std::set<std::string>& accepted() const { return accepted_; }
-  // Called now and then, for every accepted job: whether it waits beside room that fits it.
-  void waits(const std::string& id, bool beside_room);
+  // Called now and then, for every accepted job: beside which machine it waits with room for it;
+  // empty when it does not.
+  void waits(const std::string& id, const std::string& beside);
   // Called at the end: what was served too little.
   void judge_service();
 
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -256,6 +256,8 @@
         world_->cut(node, cut_of(line));
         queue.after(for_s, [this, node] { world_->heal(node); });
       }
+    } else if (what == "cut_zone") {
+      world_->cut_zone(line.text("zone", "a"), line.flag("hold"), for_s);
     } else if (what == "freeze") {
       world_->freeze(world_->pick_node(line.text("node", "leader")), for_s);
     } else if (what == "freeze_winner") {
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -16,7 +16,7 @@
 constexpr double retry_after_s = 1;
 constexpr double late_write_least_s = 2, late_write_most_s = 12;  // the bench's
 constexpr double odd_every_s = 0.4;
-constexpr double waiting_look_s = 5;
+constexpr double waiting_look_s = 1;  // finer than a slot is empty between two tasks
 constexpr int most_hanging = 8;
 }  // namespace
 
@@ -242,6 +242,8 @@
   for (auto& each : controllers_) {
     if (each->name != node) continue;
     Controller* to = each.get();
+    const bool inside = from.place().zone == zone_apart_;
+    if (!zone_apart_.empty() && inside != (to->settings.zone == zone_apart_)) return;
     if (to->cut.workers) {
       if (to->cut.hold)
         to->held.push_back([to, body] {
@@ -469,6 +471,18 @@
   for (auto& each : std::exchange(self.held, {})) each();
 }
 
+void World::cut_zone(const std::string& zone, bool hold, double for_s) {
+  zone_apart_ = zone;
+  for (auto& each : controllers_)
+    if (each->settings.zone == zone) {
+      each->cut = {true, false, true, true, false, hold, false};
+      queue_.after(for_s, [this, number = each->number] { heal(number); });
+    }
+  for (auto& [id, each] : workers_)
+    if (each->place().zone == zone) each->excuse(for_s);
+  queue_.after(for_s, [this] { zone_apart_.clear(); });
+}
+
 void World::freeze(int number, double for_s) {
   Controller& self = *controllers_[static_cast<std::size_t>(number)];
   if (!self.node || std::exchange(self.frozen, true)) return;
@@ -582,11 +596,13 @@
 
 void World::look_for_waiting_jobs() {
   queue_.after(waiting_look_s, [this] { look_for_waiting_jobs(); });
-  for (const auto& id : rules_.accepted())
-    rules_.waits(id, rules_.waits_within_limit(id) &&
-                         std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
-                           return each.second->could_run(*rules_.job(id));
-                         }));
+  for (const auto& id : rules_.accepted()) {
+    const auto roomy = std::find_if(workers_.begin(), workers_.end(), [&](const auto& each) {
+      return each.second->could_run(*rules_.job(id));
+    });
+    const bool waits = roomy != workers_.end() && rules_.waits_within_limit(id);
+    rules_.waits(id, waits ? roomy->first : "");
+  }
 }
 
 void World::sweep() {
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -65,6 +65,8 @@
   void crash(int node, double back_after_s);
   void cut(int node, const Cut& cut);
   void heal(int node);
+  // What is in the zone, controllers and workers, reaches only what is in it.
+  void cut_zone(const std::string& zone, bool hold, double for_s);
   void state_down(bool down) { state_->set_down(down); }
   void hang_machines(int count, double for_s);
   void kill_machines(int count);
@@ -143,6 +145,7 @@
   double slow_reports_ = 0, slow_reports_by_s_ = 0;
   double cancel_at_end_ = 0;
   double slow_frames_by_s_ = 0;
+  std::string zone_apart_;
   double odd_until_ = 0;
   double repeat_share_ = 0, repeat_least_s_ = 0, repeat_most_s_ = 0;
   double freeze_winner_s_ = -1;
