Users are not told what a comparison showed over a second ago; requests by table

Each reason for a 422 and each required field has its row, with repeats, at once and nothing stored.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -108,6 +108,10 @@
 // --- users ---
 // seconds; polls are gathered this long and checked in one comparison.
 inline constexpr double poll_gather_s = 0.015;
+// seconds; what a call showed that was sent longer ago is not told to a user any more: another node
+// may have told of an end or a cancellation since. Above the few hundred ms that an answer takes
+// now and then, and below the patience of a poll.
+inline constexpr double verified_fresh_s = 1.0;
 // seconds; a submission held up by the state service's rate limit is tried again this long.
 inline constexpr double accept_patience_s = 1.0;
 // seconds told to a user in Retry-After.
--- a/src/coordination/state_store.cpp
+++ b/src/coordination/state_store.cpp
@@ -121,6 +121,7 @@
                  last_contact_s_ = std::max(last_contact_s_, sent);
                  last_contact_wall_s_ = std::max(last_contact_wall_s_, sent_wall);
                }
+               answered_sent_s_ = sent;
                done(std::move(response));
              });
 }
--- a/src/coordination/state_store.hpp
+++ b/src/coordination/state_store.hpp
@@ -62,7 +62,10 @@
   bool crowded() const;
   // Steady time at which the newest answered call was sent; 0: never.
   double last_contact_s() const { return last_contact_s_; }
-  // Time of day of the same.
+  // Steady time at which the call was sent whose answer is being handled: what it tells is that
+  // old.
+  double answered_sent_s() const { return answered_sent_s_; }
+  // Time of day of the newest answered call.
   double last_contact_wall_s() const { return last_contact_wall_s_; }
 
   void get(const std::string& key, Urgency urgency,
@@ -103,6 +106,7 @@
   bool pump_set_ = false;
   double last_contact_s_ = 0;
   double last_contact_wall_s_ = 0;
+  double answered_sent_s_ = 0;
 };
 
 }  // namespace poppystile::coordination
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -60,6 +60,10 @@
 
 // --- certainty ---
 
+bool UserDesk::fresh() const {
+  return runtime_.now_s() - store_.answered_sent_s() <= constants::verified_fresh_s;
+}
+
 void UserDesk::verify(const std::string& id, Verified answer) {
   gathered_.push_back({id, std::move(answer)});
   if (gathered_.size() == 1) runtime_.after(constants::poll_gather_s, [this] { ask_gathered(); });
@@ -102,7 +106,9 @@
       [this, open = std::move(open), live = std::move(live)](TransactionResult result) mutable {
         const std::set<std::string> failed(result.failed.begin(), result.failed.end());
         for (auto& each : open) {
-          if (result.outcome == Outcome::ok) {
+          if (result.outcome == Outcome::ok && !fresh()) {
+            each.answer(Certainty::unsure);
+          } else if (result.outcome == Outcome::ok) {
             each.answer(live.contains(each.id) ? Certainty::live : Certainty::absent);
           } else if (result.outcome != Outcome::conflict) {
             each.answer(Certainty::unsure);
@@ -123,13 +129,15 @@
                if (outcome != Outcome::ok) return answer(Certainty::unsure);
                if (job) {
                  directory_.learn(job->key, job->value, job->version);
+                 if (!fresh()) return answer(Certainty::unsure);
                  return answer(directory_.job(id) != nullptr ? Certainty::live : Certainty::over);
                }
                store_.get(over_key(id), Urgency::user,
                           [this, answer = std::move(answer)](Outcome second,
                                                              std::optional<protocol::Entry> over) {
                             if (second != Outcome::ok) return answer(Certainty::unsure);
-                            if (!over) return answer(Certainty::absent);
+                            if (!over)
+                              return answer(fresh() ? Certainty::absent : Certainty::unsure);
                             directory_.learn(over->key, over->value, over->version);
                             answer(Certainty::over);
                           });
--- a/src/coordination/user_desk.hpp
+++ b/src/coordination/user_desk.hpp
@@ -40,6 +40,8 @@
   void verify(const std::string& id, Verified answer);
   void ask_gathered();
   void ask(std::vector<Question> questions);
+  // Whether what the answer at hand tells may still be told.
+  bool fresh() const;
   void read_again(const std::string& id, Verified answer);
   void answer_current(const std::string& id, transport::Respond respond);
   void answer_state(const std::string& id, bool as_poll, const transport::Respond& respond) const;
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -40,13 +40,21 @@
 }
 
 TEST(Submission, RefusesWhatIsMissingOrInvalid) {
-  const std::pair<const char*, Json> bad[] = {
-      {"id", "job-1"},    {"id", "req-"},       {"id", "req-1 2"}, {"id", 7},
-      {"shape", "cloud"}, {"rank", "top"},      {"pieces", 0},     {"pieces", 100001},
-      {"pieces", -1},     {"pieces", 1.5},      {"cores", -1},     {"cores", 0},
-      {"cores", "8"},     {"cores", 1e300},     {"ram_gb", true},  {"one_zone", 1},
-      {"bundle", ""},     {"due_s", -5},        {"builds", "g8"},  {"builds", Json{1}},
-      {"lane", nullptr},  {"guess_s", nullptr}, {"scatter", "no"}, {"crew", std::string(300, 'x')}};
+  const std::pair<const char*, Json> bad[] = {{"id", "job-1"},      {"id", "req-"},
+                                              {"id", "req-1 2"},    {"id", 7},
+                                              {"shape", "cloud"},   {"rank", "top"},
+                                              {"pieces", 0},        {"pieces", 100001},
+                                              {"pieces", -1},       {"pieces", 1.5},
+                                              {"cores", -1},        {"cores", 0},
+                                              {"cores", "8"},       {"cores", 1e300},
+                                              {"ram_gb", true},     {"one_zone", 1},
+                                              {"bundle", ""},       {"due_s", -5},
+                                              {"builds", "g8"},     {"builds", Json{1}},
+                                              {"lane", nullptr},    {"guess_s", nullptr},
+                                              {"scatter", "no"},    {"crew", std::string(300, 'x')},
+                                              {"mark_every_s", -1}, {"mark_cost_s", "4"},
+                                              {"pull_gb", -1},      {"guess_s", -1},
+                                              {"yard", 3}};
   for (const auto& [field, value] : bad) {
     Json body = Json::parse(submission);
     body[field] = value;
@@ -54,10 +62,14 @@
   }
   for (const char* field :
        {"id", "lane", "crew", "shape", "rank", "pieces", "cores", "gpus", "ram_gb", "bundle",
-        "pull_gb", "one_zone", "scatter", "loaners", "guess_s"}) {
+        "pull_gb", "one_zone", "scatter", "loaners", "guess_s", "mark_every_s", "mark_cost_s"}) {
     Json body = Json::parse(submission);
     body.erase(field);
-    EXPECT_THROW(protocol::parse_submission(body), DecodeError) << field;
+    EXPECT_THROW(protocol::parse_submission(body), DecodeError) << field << " missing";
+    body[field] = nullptr;
+    EXPECT_THROW(protocol::parse_submission(body), DecodeError) << field << " null";
+    body[field] = Json::object();
+    EXPECT_THROW(protocol::parse_submission(body), DecodeError) << field << " of a wrong type";
   }
   EXPECT_THROW(protocol::parse_object("[1]"), DecodeError);
   EXPECT_THROW(protocol::parse_object("{"), DecodeError);
--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -12,22 +12,20 @@
 
 #include "constants.hpp"
 #include "world/event_queue.hpp"
+#include "world/lone_caller.hpp"
 #include "world/state_service.hpp"
 
 namespace poppystile::coordination {
 namespace {
 
 using bookkeeping::Ledger;
-using transport::Endpoint;
-using transport::HttpRequest;
-using transport::HttpResponse;
 
-// One controller's view of time and of the state service, as long as it lives.
-class Life : public transport::Runtime, public transport::HttpCaller {
+// One controller, as long as it lives.
+class Life : public world::LoneCaller {
  public:
   Life(world::EventQueue& queue, world::StateService& service, const std::string& name,
        double lose_answers)
-      : queue_(queue), service_(service), lose_answers_(lose_answers) {
+      : LoneCaller(queue, service, lose_answers) {
     settings.name = name;
     settings.state_rps = 250;
     settings.state_write_rps = 40;
@@ -53,36 +51,6 @@
     directory->start();
     leadership->start();
   }
-  double now_s() const override { return 1000 + queue_.now(); }
-  double wall_s() const override { return 1.7e9 + queue_.now(); }
-  void after(double delay_s, std::function<void()> action) override {
-    queue_.after(delay_s, [mine = std::weak_ptr<int>(alive_), action = std::move(action)] {
-      if (!mine.expired()) action();
-    });
-  }
-  void call(const Endpoint&, HttpRequest request, double timeout_s,
-            std::function<void(HttpResponse)> done) override {
-    auto settled = std::make_shared<bool>(false);
-    const auto settle = [mine = std::weak_ptr<int>(alive_), settled,
-                         done = std::move(done)](const HttpResponse& response) {
-      if (!mine.expired() && !std::exchange(*settled, true)) done(response);
-    };
-    queue_.after(timeout_s, [settle] { settle({}); });
-    const bool writes =
-        request.method == "POST" && request.body.find("journal/") != std::string::npos;
-    if (writes && repeat_after_s > 0)
-      queue_.after(repeat_after_s, [&service = service_, request] {
-        service.handle(request, [](const HttpResponse&) {});
-      });
-    const double held_s = writes ? hold_journal_s : 0;
-    // What was sent arrives even when its sender has died since.
-    queue_.after(held_s + queue_.uniform(0.001, 0.02),
-                 [&queue = queue_, &service = service_, lose = lose_answers_, request, settle] {
-                   service.handle(request, [&queue, lose, settle](const HttpResponse& response) {
-                     if (!queue.chance(lose)) settle(response);
-                   });
-                 });
-  }
   // Appends as a leader does, and keeps the ledger that its successor should find.
   std::uint64_t append(const bookkeeping::Json& entry) {
     ledger.apply(bookkeeping::Json::parse(entry.dump()));
@@ -96,14 +64,6 @@
   std::optional<JournalDesk> journal;
   Ledger ledger;
   bool loaded = false, understood = false, lost = false;
-  double hold_journal_s = 0;  // its transactions arrive this much later
-  double repeat_after_s = 0;  // and once more after this
-
- private:
-  world::EventQueue& queue_;
-  world::StateService& service_;
-  double lose_answers_;
-  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 class JournalDeskTest : public testing::Test {
--- /dev/null
+++ b/tests/unit/user_desk_test.cpp
@@ -0,0 +1,135 @@
+// What users are answered: each reason for a refusal, at once and with nothing stored; repeats.
+#include "coordination/user_desk.hpp"
+
+#include <gtest/gtest.h>
+
+#include "world/event_queue.hpp"
+#include "world/lone_caller.hpp"
+#include "world/state_service.hpp"
+
+namespace poppystile::coordination {
+namespace {
+
+using protocol::Json;
+using transport::HttpResponse;
+
+class UserDeskTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    settings.state_rps = 250;
+    settings.state_write_rps = 40;
+    settings.txn_ops = 32;
+    settings.teams = {{"vision", 8, 40, 0, 2}, {"free", 0, 0, 0, 0}};
+    const std::vector<protocol::MachineType> types = {
+        {"g8", {32000, 8000, 64000}, 50, 1, 1.0, 0.3, 20, {"a", "b"}},
+        {"c4", {16000, 0, 32000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
+    const Json put = {{"write", bookkeeping::keys::catalog},
+                      {"data", bookkeeping::encode_catalog(types)}};
+    service.handle({"POST", "/multi", Json{{"apply", Json::array({put})}}.dump()}, [](auto) {});
+    directory.start();
+    queue.run_until(1);
+    ASSERT_TRUE(directory.loaded());
+  }
+
+  static Json job() {
+    return {{"id", "req-000412"}, {"lane", "train"},    {"crew", "vision"},   {"shape", "sweep"},
+            {"rank", "high"},     {"pieces", 16},       {"cores", 8.0},       {"gpus", 1.0},
+            {"ram_gb", 32.0},     {"bundle", "img-07"}, {"pull_gb", 6.2},     {"builds", nullptr},
+            {"yard", nullptr},    {"one_zone", false},  {"scatter", false},   {"loaners", true},
+            {"guess_s", 240.0},   {"mark_every_s", 30}, {"mark_cost_s", 4.0}, {"due_s", nullptr}};
+  }
+
+  // The answer, and how long it took.
+  HttpResponse submit(const Json& body) {
+    HttpResponse got;
+    const double asked = queue.now();
+    desk.submit(body.dump(), [&](HttpResponse response) {
+      got = std::move(response);
+      took_s = queue.now() - asked;
+    });
+    queue.run_until(asked + 2);
+    return got;
+  }
+
+  world::EventQueue queue{5};
+  world::StateService service{queue, 250, 40, 32};
+  world::LoneCaller caller{queue, service, 0};
+  protocol::Settings settings;
+  StateStore store{caller, caller, settings};
+  Directory directory{caller, store};
+  UserDesk desk{caller, store, directory, settings, [](const auto&) { return TaskCounts{}; }};
+  double took_s = -1;
+};
+
+TEST_F(UserDeskTest, EachReasonForARefusalIsToldAtOnceAndNothingIsStored) {
+  struct Case {
+    const char* what;
+    std::vector<std::pair<const char*, Json>> fields;
+    int status;
+  };
+  const Case cases[] = {
+      {"unknown team", {{"crew", "nobody"}}, 422},
+      {"too many cores for any type", {{"cores", 33}}, 422},
+      {"too much memory for any type", {{"ram_gb", 65}}, 422},
+      {"too many gpus for any type", {{"gpus", 9}}, 422},
+      {"no such type", {{"builds", {"x9"}}}, 422},
+      {"no type allowed", {{"builds", Json::array()}}, 422},
+      {"does not fit the allowed type", {{"builds", {"c4"}}}, 422},
+      {"the allowed type is not in the zone",
+       {{"builds", {"c4"}}, {"gpus", 0}, {"yard", "b"}},
+       422},
+      {"no such zone", {{"yard", "z"}}, 422},
+      {"a task above the team's gpus", {{"gpus", 3}}, 422},
+      {"a service's tasks above the team's cores", {{"shape", "standing"}, {"pieces", 6}}, 422},
+      {"a service's tasks above the team's gpus", {{"shape", "standing"}, {"pieces", 3}}, 422},
+      {"no tasks", {{"pieces", 0}}, 400},
+      {"no name", {{"id", "412"}}, 400},
+  };
+  for (const Case& each : cases) {
+    Json body = job();
+    for (const auto& [field, value] : each.fields) body[field] = value;
+    for (int repeat = 0; repeat < 2; ++repeat) {
+      const HttpResponse got = submit(body);
+      EXPECT_EQ(got.status, each.status) << each.what << " " << got.body;
+      EXPECT_EQ(took_s, 0) << each.what;
+      EXPECT_TRUE(Json::parse(got.body).at("error").is_string()) << each.what;
+    }
+    EXPECT_FALSE(service.has(bookkeeping::job_key("req-000412"))) << each.what;
+  }
+}
+
+TEST_F(UserDeskTest, WhatCanRunIsAcceptedOnceAndKnownWhenRepeated) {
+  const std::vector<std::vector<std::pair<const char*, Json>>> good = {
+      {},
+      {{"id", "req-000002"}, {"cores", 32}, {"ram_gb", 64}, {"gpus", 2}},
+      {{"id", "req-000003"}, {"crew", "free"}, {"gpus", 8}},
+      {{"id", "req-000004"}, {"builds", {"c4", "g8", "x9"}}, {"yard", "a"}, {"pieces", 100000}},
+      {{"id", "req-000005"}, {"shape", "standing"}, {"pieces", 2}, {"guess_s", 0}}};
+  for (const auto& fields : good) {
+    Json body = job();
+    for (const auto& [field, value] : fields) body[field] = value;
+    EXPECT_EQ(submit(body).status, 201);
+    const HttpResponse again = submit(body);
+    EXPECT_EQ(again.status, 200);
+    EXPECT_EQ(Json::parse(again.body).at("stage"), "pending");
+  }
+}
+
+// A comparison that was answered late says nothing about now: another node may have told more.
+TEST_F(UserDeskTest, WhatWasSeenLongAgoIsNotTold) {
+  ASSERT_EQ(submit(job()).status, 201);
+  const auto ask = [&](double slow_s) {
+    HttpResponse got;
+    caller.answer_delay_s = slow_s;
+    desk.show("req-000412", [&](HttpResponse response) { got = std::move(response); });
+    queue.run_until(queue.now() + 3);
+    return got;
+  };
+  EXPECT_EQ(ask(0.5).status, 200);
+  const HttpResponse late = ask(1.5);
+  EXPECT_EQ(late.status, 503);
+  EXPECT_TRUE(late.retry_after_s > 0);
+}
+
+}  // namespace
+}  // namespace poppystile::coordination
