--- a/src/bookkeeping/model.cpp
+++ b/src/bookkeeping/model.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "constants.hpp"
+
 namespace poppystile::bookkeeping {
 
 std::uint32_t Job::take_waiting(Machine& machine) {
@@ -19,6 +21,17 @@
   return index;
 }
 
+std::uint32_t Job::to_try() const {
+  if (retry_pause_s == 0) return waiting();
+  const auto out = static_cast<std::uint32_t>(places.size());
+  return std::min(waiting(), constants::retry_probes - std::min(constants::retry_probes, out));
+}
+
+void Job::trust() {
+  failed_on.clear();
+  retry_pause_s = failed_after_s = 0;
+}
+
 void Job::give_back(std::uint32_t index) {
   phases[index] = TaskPhase::waiting;
   places.erase(index);
--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -32,14 +32,19 @@
   std::vector<std::uint32_t> returned;                 // tasks that came back from a machine
   std::unordered_map<std::uint32_t, Machine*> places;  // of the placed tasks
   std::uint32_t finished = 0, running = 0;
-  double retry_at_s = 0;  // steady; failed tasks wait until then
-  double retry_pause_s = 0;
-  std::set<std::string> failed_on;  // machines, since a task last completed
+  double retry_at_s = 0;            // steady; failed tasks wait until then
+  double retry_pause_s = 0;         // above 0: it fails wherever it runs
+  std::set<std::string> failed_on;  // machines, since it last ran well
+  double failed_after_s = 0;        // the longest run that has failed since
 
   const JobSpec& spec() const { return record.spec; }
   std::uint32_t waiting() const {
     return spec().tasks - static_cast<std::uint32_t>(places.size()) - finished;
   }
+  // Of those, how many may be tried: a few when all fail.
+  std::uint32_t to_try() const;
+  // A task of it has run well.
+  void trust();
   bool all_finished() const { return finished == spec().tasks; }
   // The next task to be placed; the caller names its machine.
   std::uint32_t take_waiting(Machine& machine);
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -231,8 +231,12 @@
 // failures in a row, of different jobs, that put a machine in quarantine.
 inline constexpr int quarantine_failures = 3;
 // seconds; first and longest pause before a failed task is tried again.
+// The longest leaves time to find a place within the 90 s after which waiting counts as a fault.
 inline constexpr double retry_first_s = 1.0;
-inline constexpr double retry_most_s = 60.0;
+inline constexpr double retry_most_s = 45.0;
+// tasks of a job that fails wherever it runs that are out at once: enough to see when it is mended,
+// without room kept busy for the rest.
+inline constexpr std::uint32_t retry_probes = 2;
 // seconds between looks at types and prices; prices move slowly.
 inline constexpr double catalog_every_s = 60.0;
 // seconds before a rental without an answer is asked for again.
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -452,7 +452,13 @@
   const PlacementPhase phase = seen.state == TaskState::running  ? PlacementPhase::running
                                : seen.state == TaskState::saving ? PlacementPhase::saving
                                                                  : PlacementPhase::fetching;
-  if (phase == placement.phase) return;
+  if (phase == placement.phase) {
+    // It has run for longer than it ever did before it failed.
+    if (phase == PlacementPhase::running && job != nullptr && !job->failed_on.empty() &&
+        runtime_.now_s() - placement.since_s > 2 * (job->failed_after_s + settings_.report_s))
+      job->trust();
+    return;
+  }
   if (job != nullptr) {
     if (placement.phase == PlacementPhase::running) --job->running;
     if (phase == PlacementPhase::running) {
@@ -482,8 +488,7 @@
   machine.failures = 0;
   machine.failed_jobs.clear();
   note_image(machine, *job);
-  job->failed_on.clear();
-  job->retry_pause_s = 0;
+  job->trust();
   job->finish(placement.index);
   // The worker keeps the task until this has landed.
   placement.mark = journal_.append(bookkeeping::finished_entry(placement.job, placement.index));
@@ -499,11 +504,19 @@
   spdlog::info("task failed job={} index={} machine={} cause={}", placement.job, placement.index,
                machine.id, static_cast<int>(cause));
   if (cause == ExitCause::error) job->failed_on.insert(machine.id);
-  const bool job_at_fault = job->failed_on.size() >= 2 || cause == ExitCause::unknown;
+  if (placement.phase == PlacementPhase::running)
+    job->failed_after_s = std::max(job->failed_after_s, now - placement.since_s);
+  // One that has finished tasks is right, and the machine is not.
+  const bool job_at_fault =
+      (job->finished == 0 && job->failed_on.size() >= 2) || cause == ExitCause::unknown;
   if (job_at_fault) {
+    // Tasks that fail together count once.
+    if (now < job->retry_at_s) return;
     job->retry_pause_s =
         std::clamp(job->retry_pause_s * 2, constants::retry_first_s, constants::retry_most_s);
     job->retry_at_s = now + job->retry_pause_s;
+    spdlog::info("job fails on every machine id={} machines={} next_try_s={}", placement.job,
+                 job->failed_on.size(), job->retry_pause_s);
     return;
   }
   ++machine.failures;
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -116,12 +116,12 @@
   // are wanted abreast as finish the work within the time that is left.
   std::uint32_t wanted(const Job& job) const {
     const JobSpec& spec = job.spec();
-    if (spec.kind == JobKind::service) return job.waiting();
+    if (spec.kind == JobKind::service) return job.to_try();
     const double expected = believed_run_s(spec);
     const double age = context_.now_wall_s - job.record.accepted_wall_s;
     const double left = spec.deadline_s ? *spec.deadline_s - age : 3 * expected;
     const double waves = std::clamp(left / expected, 1.0, 4.0);
-    return static_cast<std::uint32_t>(std::ceil(job.waiting() / waves));
+    return static_cast<std::uint32_t>(std::ceil(job.to_try() / waves));
   }
 
   void pack(const JobSpec& spec, std::uint32_t count, bool urgent) {
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -84,7 +84,7 @@
     std::map<int, std::vector<const Job*>, std::greater<>> arrays;
     std::vector<const Job*> starved;
     for (const auto& [id, job] : model_.jobs) {
-      if (job.record.cancelled || job.waiting() == 0) continue;
+      if (job.record.cancelled || job.to_try() == 0) continue;
       if (job.retry_at_s > context_.now_s) continue;
       if (job.spec().kind == JobKind::service) {
         services.push_back(&job);
@@ -276,7 +276,7 @@
   // those.
   void place_service(const Job& job) {
     const JobSpec& spec = job.spec();
-    for (std::uint32_t left = std::min(job.waiting(), team_room(spec)); left > 0; --left) {
+    for (std::uint32_t left = std::min(job.to_try(), team_room(spec)); left > 0; --left) {
       Slot* best = nullptr;
       double least = 0;
       for (auto& slot : slots_) {
@@ -400,7 +400,7 @@
     for (const auto& each : plan_.placements) ++placed[each.job];
     for (const Job* job : jobs) {
       const JobSpec& spec = job->spec();
-      std::uint32_t left = job->waiting() - placed[spec.id];
+      std::uint32_t left = job->to_try() - std::min(job->to_try(), placed[spec.id]);
       for (Slot* slot : roomy)
         for (; left > 0 && slot->holds(spec.image) && fits(*slot, spec) && team_room(spec) > 0;
              --left)
@@ -451,7 +451,8 @@
     for (const Job* job : batch) {
       if (!guaranteed_.contains(job)) continue;
       const JobSpec& spec = job->spec();
-      std::uint32_t left = std::min(job->waiting() - placed[spec.id], team_room(spec));
+      std::uint32_t left =
+          std::min(job->to_try() - std::min(job->to_try(), placed[spec.id]), team_room(spec));
       while (left > 0 && place_anywhere(spec)) --left;
       while (left > 0 && make_room(*job)) --left;
     }
@@ -490,7 +491,7 @@
     // Jobs enter by their order within their team's limit.
     const auto most =
         static_cast<std::uint32_t>(std::min<std::int64_t>(abreast_now, constants::max_tasks));
-    out.count = std::min({job.waiting() - entered, team_room(spec), most});
+    out.count = std::min({job.to_try() - std::min(job.to_try(), entered), team_room(spec), most});
     if (has_starved(job)) {
       const std::uint32_t part = spec.tasks / constants::starved_part + 1;
       out.count = std::min(out.count, part - std::min(part, entered));
--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -25,6 +25,7 @@
 
 void Rules::on_machine(const std::string& id, std::uint32_t index, const Place& place) {
   ++starts_;
+  if (is_mistaken(id)) ++mistaken_starts_;
   began_.emplace(id, queue_.now());
   const std::string name = id + "/" + std::to_string(index) + " on " + place.machine;
   const auto& spec = jobs_.at(id);
--- a/tests/world/rules.hpp
+++ b/tests/world/rules.hpp
@@ -28,6 +28,10 @@
     jobs_[job.id] = job;
     submitted_[job.id] = queue_.now();
   }
+  // Submitted with a mistake: it fails on every machine.
+  void mistaken(const std::string& id) { mistaken_.insert(id); }
+  bool is_mistaken(const std::string& id) const { return mistaken_.contains(id); }
+  std::uint64_t mistaken_starts() const { return mistaken_starts_; }
   const protocol::JobSpec* job(const std::string& id) const;
   // Told when a job's last task has completed.
   void on_last_task(std::function<void(const std::string&)> handler) {
@@ -93,6 +97,8 @@
   std::vector<std::string> broken_;
   std::uint64_t starts_ = 0;
   std::uint64_t cancelled_starts_ = 0;
+  std::set<std::string> mistaken_;
+  std::uint64_t mistaken_starts_ = 0;
 };
 
 }  // namespace poppystile::world
--- a/tests/world/run_scenario.cpp
+++ b/tests/world/run_scenario.cpp
@@ -8,11 +8,13 @@
 //                                 cache
 //   team NAME cpus= cpus_max=
 //   load CLASS KEY=VALUE...       kind, team, priority, first, every, until, tasks, run, cpus,
-//                                 memory, images, gb, spot, one_zone, spread, zone, deadline
+//                                 memory, images, gb, spot, one_zone, spread, zone, deadline,
+//                                 mistaken
 //   at SECONDS ACTION KEY=VALUE...    times=N every=SECONDS: more than once
 //   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
 //                                 state_requests, state_changes, lapses, stale_releases,
-//                                 unheard_starts, cancelled_starts, machine_seconds; OP is >= or <=
+//                                 unheard_starts, cancelled_starts, mistaken_starts,
+//                                 machine_seconds; OP is >= or <=
 // A node is any, leader, follower, others (all but the leader, for cuts), all (for crashes) or a
 // number. Once the last trouble is over, every accepted job must get answers again, and none may
 // wait beside room that fits it; and no class, team or class's largest jobs may be left out.
@@ -202,6 +204,7 @@
     job.estimate_s =
         job.kind == protocol::JobKind::service ? 0 : pick(queue, line.text("run", "15"));
     if (line.values.contains("deadline")) job.deadline_s = line.number_of("deadline", 60);
+    if (line.flag("mistaken")) world_->rules().mistaken(job.id);
     world_->submit(job);
   }
 
@@ -341,6 +344,8 @@
       found = static_cast<double>(world_->stale_releases());
     else if (name == "unheard_starts")
       found = static_cast<double>(world_->unheard_starts());
+    else if (name == "mistaken_starts")
+      found = static_cast<double>(rules.mistaken_starts());
     else if (name == "cancelled_starts")
       found = static_cast<double>(rules.cancelled_starts());
     else if (name == "machine_seconds")
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -231,7 +231,7 @@
   if (rules_.is_completed(task->job, task->index)) return leave(*task, "done");
   rules_.on_machine(task->job, task->index, place_);
   task->stage = "running";
-  if (sick_) {
+  if (sick_ || rules_.is_mistaken(task->job)) {
     queue_.after(0.5, [this, life] { finish(life, "error"); });
   } else if (const auto* spec = rules_.job(task->job); spec->kind == protocol::JobKind::array) {
     queue_.after(spec->estimate_s * queue_.uniform(0.6, 1.4),
