A team's use follows the placement, not the job

Read off the code: vacating a placement whose job was gone left the team's sum as it was, which would have barred the team's work for ever.

--- a/src/bookkeeping/model.cpp
+++ b/src/bookkeeping/model.cpp
@@ -81,12 +81,13 @@
   job.places[index] = &machine;
   Placement placement;
   placement.job = job.spec().id;
+  placement.team = job.spec().team;
   placement.index = index;
   placement.attempt = attempt;
   placement.each = job.spec().each;
   placement.since_s = now_s;
   machine.used += placement.each;
-  teams[job.spec().team].used += placement.each;
+  teams[placement.team].used += placement.each;
   machine.placements.push_back(std::move(placement));
   return machine.placements.back();
 }
@@ -97,7 +98,7 @@
   if (placement.phase == PlacementPhase::running && owner != nullptr) --owner->running;
   placement.phase = PlacementPhase::exited;
   machine.used -= placement.each;
-  if (owner != nullptr) teams[owner->spec().team].used -= placement.each;
+  teams[placement.team].used -= placement.each;
 }
 
 }  // namespace poppystile::bookkeeping
--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -56,6 +56,7 @@
 
 struct Placement {
   std::string job;
+  std::string team;  // whose use it counts for, also when the job is gone
   std::uint32_t index = 0;
   std::uint64_t attempt = 0;
   Resources each;
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -230,6 +230,19 @@
   EXPECT_TRUE(plan().placements.empty());
 }
 
+// What may be on a machine counts until it is proven off, and no longer, whatever became of its
+// job.
+TEST_F(PlannerTest, ATeamsUseOutlivesTheJobAndNotThePlacement) {
+  add(model, spec("req-1", JobKind::array, 3, Priority::normal));
+  Machine& machine = add(model, "a1", 16);
+  apply(plan());
+  model.jobs.erase("req-1");
+  EXPECT_EQ(model.teams.at("ops").used.cpus, 6000);
+  for (auto& each : machine.placements) model.vacate(machine, each);
+  EXPECT_EQ(model.teams.at("ops").used.cpus, 0);
+  EXPECT_EQ(machine.used.cpus, 0);
+}
+
 // Lower work once waited for ever beside a stream of higher work.
 TEST_F(PlannerTest, AStarvedJobOfLowerPriorityBeginsFirst) {
   add(model, spec("req-1", JobKind::array, 50, Priority::normal));
