--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -501,9 +501,11 @@
   Job* job = model_.job(placement.job);
   if (job == nullptr || cause == ExitCause::stopped || cause == ExitCause::done) return;
   const double now = runtime_.now_s();
-  spdlog::info("task failed job={} index={} machine={} cause={}", placement.job, placement.index,
-               machine.id, static_cast<int>(cause));
-  if (cause == ExitCause::error) job->failed_on.insert(machine.id);
+  // A job's other failures on the same machine tell an operator nothing more.
+  const bool news = cause != ExitCause::error || job->failed_on.insert(machine.id).second;
+  spdlog::log(news ? spdlog::level::info : spdlog::level::debug,
+              "task failed job={} index={} machine={} cause={}", placement.job, placement.index,
+              machine.id, protocol::cause_word(cause));
   if (placement.phase == PlacementPhase::running)
     job->failed_after_s = std::max(job->failed_after_s, now - placement.since_s);
   // One that has finished tasks is right, and the machine is not.
--- a/src/protocol/worker_messages.cpp
+++ b/src/protocol/worker_messages.cpp
@@ -58,6 +58,12 @@
 
 }  // namespace
 
+const char* cause_word(ExitCause cause) {
+  static constexpr const char* words[] = {"none",    "done", "stopped", "error",
+                                          "no_room", "busy", "unknown"};
+  return words[static_cast<std::size_t>(cause)];
+}
+
 std::string task_name(const std::string& job, std::uint32_t index) {
   return job + "/" + std::to_string(index);
 }
--- a/src/protocol/worker_messages.hpp
+++ b/src/protocol/worker_messages.hpp
@@ -10,6 +10,8 @@
 
 enum class TaskState : std::uint8_t { fetching, running, saving, exited };
 enum class ExitCause : std::uint8_t { none, done, stopped, error, no_room, busy, unknown };
+// For logs.
+const char* cause_word(ExitCause cause);
 
 struct ReportedTask {
   std::string job;
--- /dev/null
+++ b/tests/unit/node_test.cpp
@@ -0,0 +1,176 @@
+// What lets a leader keep leases alive in an outage: each premise of docs/design.md, frame by
+// frame.
+#include "coordination/node.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "constants.hpp"
+#include "world/event_queue.hpp"
+#include "world/lone_caller.hpp"
+#include "world/state_service.hpp"
+
+namespace poppystile::coordination {
+namespace {
+
+using protocol::Json;
+using protocol::PeerStatus;
+using transport::HttpResponse;
+
+struct NoPeers : transport::PeerNet {
+  void broadcast(const std::string&) override {}
+  void on_frame(std::function<void(const std::string&)> handler) override {
+    deliver = std::move(handler);
+  }
+  std::function<void(const std::string&)> deliver;
+};
+
+constexpr double outage_at_s = 10;
+constexpr double lease_s = 10;
+constexpr double cancel_s = 35;
+// How long a leader may answer on what it knew when the outage began.
+constexpr double budget_s = cancel_s - lease_s - 3 * constants::lease_margin_s;
+
+class NodeTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    node.start();
+    queue.run_until(outage_at_s);
+    ASSERT_TRUE(node.leads());
+    service.set_down(true);
+  }
+
+  static protocol::Settings made_settings() {
+    protocol::Settings made;
+    made.name = "stile-0";
+    made.siblings = {{"stile-1", "a", {}}, {"stile-2", "b", {}}};
+    made.lease_s = lease_s;
+    made.cancel_s = cancel_s;
+    made.state_rps = 250;
+    made.state_write_rps = 40;
+    made.txn_ops = 32;
+    return made;
+  }
+
+  // A sibling's frame as it would be sent now.
+  PeerStatus frame(const std::string& name) const {
+    PeerStatus status;
+    status.name = name;
+    status.life = 7;
+    status.born_wall_s = caller.wall_s() - queue.now();
+    status.token = node.token();
+    status.sent_wall_s = caller.wall_s();
+    status.state_wall_s = status.proven_wall_s = caller.wall_s() - queue.now() + outage_at_s;
+    return status;
+  }
+  void hear(const PeerStatus& status) { peers.deliver(protocol::encode_peer_status(status)); }
+
+  // Both siblings' frames each second, as `change` leaves them; whether a report is answered at the
+  // end.
+  bool answers_after(double seconds, const std::function<void(PeerStatus&)>& change) {
+    for (double end = queue.now() + seconds; queue.now() < end;) {
+      for (const char* name : {"stile-1", "stile-2"}) {
+        PeerStatus status = frame(name);
+        change(status);
+        if (!status.name.empty()) hear(status);
+      }
+      queue.run_until(queue.now() + 1);
+    }
+    return answers();
+  }
+
+  bool answers() {
+    const Json report = {{"stile", "n-1"}, {"addr", "10.1.0.1:9000"}, {"build", "g"},
+                         {"yard", "a"},    {"loaners", false},        {"shift", 1},
+                         {"tick", ++tick}, {"baton", node.token()},   {"pieces", Json::array()}};
+    HttpResponse got;
+    node.handle({"POST", "/agent/beat", report.dump()}, [&](HttpResponse answer) { got = answer; });
+    queue.run_until(queue.now() + 1);
+    return got.status == 200;
+  }
+
+  world::EventQueue queue{3};
+  world::StateService service{queue, 250, 40, 32};
+  world::LoneCaller caller{queue, service, 0};
+  NoPeers peers;
+  protocol::Settings settings = made_settings();
+  protocol::Properties properties;
+  Node node{caller, caller, peers, settings, properties, 11};
+  std::uint64_t tick = 0;
+};
+
+TEST_F(NodeTest, OnItsOwnItFallsSilentInTime) {
+  EXPECT_TRUE(answers_after(budget_s - 3, [](auto& status) { status.name.clear(); }));
+  queue.run_until(queue.now() + 4);
+  EXPECT_FALSE(answers());
+}
+
+TEST_F(NodeTest, SiblingsThatVouchKeepLeasesAliveThroughAnOutage) {
+  EXPECT_TRUE(answers_after(4 * cancel_s, [](auto&) {}));
+}
+
+TEST_F(NodeTest, OneSiblingThatIsNotHeardIsEnough) {
+  EXPECT_FALSE(answers_after(budget_s + 1, [](auto& status) {
+    if (status.name == "stile-2") status.name.clear();
+  }));
+}
+
+TEST_F(NodeTest, AListThatDidNotFitVouchesForNothing) {
+  EXPECT_FALSE(answers_after(budget_s + 1, [](auto& status) {
+    if (status.name == "stile-2") status.all_cancelled = false;
+  }));
+}
+
+TEST_F(NodeTest, FramesCountByTheTimeAtWhichTheyWereSent) {
+  const double stands_at = caller.wall_s();
+  EXPECT_FALSE(answers_after(budget_s + 1, [&](auto& status) {
+    status.sent_wall_s = std::min(status.sent_wall_s, stands_at);
+  }));
+}
+
+// It may have told a user of a cancellation in its former life that no frame has carried.
+TEST_F(NodeTest, ALifeThatHasNotReadTheDirectoryDoesNotVouchForTheOneBefore) {
+  ASSERT_TRUE(answers_after(3, [](auto&) {}));
+  const double born = caller.wall_s();
+  EXPECT_FALSE(answers_after(budget_s + 1, [&](auto& status) {
+    if (status.name != "stile-2") return;
+    status.life = 8;
+    status.born_wall_s = born;
+    status.proven_wall_s = 0;
+  }));
+}
+
+TEST_F(NodeTest, ALifeThatHasReadTheDirectoryDoes) {
+  ASSERT_TRUE(answers_after(3, [](auto&) {}));
+  const double born = caller.wall_s();
+  EXPECT_TRUE(answers_after(2 * cancel_s, [&](auto& status) {
+    if (status.name != "stile-2") return;
+    status.life = 8;
+    status.born_wall_s = born;
+    status.proven_wall_s = born + 0.5;
+  }));
+}
+
+TEST_F(NodeTest, ASiblingWhoseDirectoryReachesPastItsBirthVouchesForTheLifeBefore) {
+  const double born = caller.wall_s();
+  EXPECT_TRUE(answers_after(2 * cancel_s, [&](auto& status) {
+    if (status.name == "stile-2") {
+      status.life = 8;
+      status.born_wall_s = born - 5;
+      status.proven_wall_s = 0;
+    } else {
+      status.proven_wall_s = born;
+    }
+  }));
+}
+
+TEST_F(NodeTest, AHigherTokenEndsIt) {
+  PeerStatus status = frame("stile-1");
+  ++status.token;
+  hear(status);
+  EXPECT_FALSE(node.leads());
+}
+
+}  // namespace
+}  // namespace poppystile::coordination
