--- /dev/null
+++ b/tests/unit/leadership_test.cpp
@@ -0,0 +1,61 @@
+// Elections: of controllers that run at the same moment one wins, and no token is had twice.
+#include "coordination/leadership.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "constants.hpp"
+#include "world/event_queue.hpp"
+#include "world/lone_caller.hpp"
+#include "world/state_service.hpp"
+
+namespace poppystile::coordination {
+namespace {
+
+struct Candidate : world::LoneCaller {
+  Candidate(world::EventQueue& queue, world::StateService& service, const std::string& name)
+      : LoneCaller(queue, service, 0),
+        store(*this, *this, settings),
+        directory(*this, store),
+        leadership(*this, store, directory, name, queue.random()) {
+    directory.start();
+    leadership.start();
+  }
+  protocol::Settings settings;
+  StateStore store;
+  Directory directory;
+  Leadership leadership;
+};
+
+TEST(Election, OneOfThoseThatRunAtOnceWins) {
+  int contested = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    world::EventQueue queue(seed);
+    world::StateService service(queue, 250, 40, 32);
+    std::vector<std::unique_ptr<Candidate>> all;
+    std::map<std::uint64_t, Candidate*> winners;
+    for (const char* name : {"stile-0", "stile-1", "stile-2"}) {
+      all.push_back(std::make_unique<Candidate>(queue, service, name));
+      Candidate* self = all.back().get();
+      self->leadership.on_won([&winners, &contested, self] {
+        const auto token = self->leadership.token();
+        EXPECT_TRUE(winners.emplace(token, self).second) << "token " << token << " had twice";
+        ++contested;
+      });
+    }
+    // The leader gives its grant back over and over, and everybody runs.
+    for (int turn = 0; turn < 10; ++turn) {
+      queue.run_until(queue.now() + 1);
+      for (auto& each : all)
+        if (each->leadership.leading()) each->leadership.resign("the test", 0.3);
+    }
+    EXPECT_GE(winners.size(), 8u);
+  }
+  EXPECT_GE(contested, 480);
+}
+
+}  // namespace
+}  // namespace poppystile::coordination
