--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/user_desk.cpp
@@ -106,9 +106,8 @@
       [this, open = std::move(open), live = std::move(live)](TransactionResult result) mutable {
         const std::set<std::string> failed(result.failed.begin(), result.failed.end());
         for (auto& each : open) {
-          if (result.outcome == Outcome::ok && !fresh()) {
-            each.answer(Certainty::unsure);
-          } else if (result.outcome == Outcome::ok) {
+          const bool told = result.outcome == Outcome::ok && fresh();
+          if (told) {
             each.answer(live.contains(each.id) ? Certainty::live : Certainty::absent);
           } else if (result.outcome != Outcome::conflict) {
             each.answer(Certainty::unsure);
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -160,7 +160,8 @@
   std::vector<std::string> draining_for(const std::vector<const Job*>& jobs) const {
     std::vector<std::string> out;
     if (!draining_) return out;
-    for (const auto& [id, machine] : model_.machines) {
+    for (const auto& [id, each] : model_.machines) {
+      const Machine& machine = each;
       if (!machine.draining || !counts(machine)) continue;
       const auto takes = [&](const Job* job) {
         return unplaced_.contains(job->spec().id) && may_run_on(job->spec(), machine) &&
--- a/tests/unit/node_test.cpp
+++ b/tests/unit/node_test.cpp
@@ -85,7 +85,8 @@
                          {"yard", "a"},    {"loaners", false},        {"shift", 1},
                          {"tick", ++tick}, {"baton", node.token()},   {"pieces", Json::array()}};
     HttpResponse got;
-    node.handle({"POST", "/agent/beat", report.dump()}, [&](HttpResponse answer) { got = answer; });
+    node.handle({"POST", "/agent/beat", report.dump()},
+                [&](HttpResponse answer) { got = std::move(answer); });
     queue.run_until(queue.now() + 1);
     return got.status == 200;
   }
