--- /dev/null
+++ b/tests/unit/directory_test.cpp
@@ -0,0 +1,80 @@
+// What a node knows of jobs: cancellations are for good, and proofs are as old as their question.
+#include "coordination/directory.hpp"
+
+#include <gtest/gtest.h>
+
+#include "world/event_queue.hpp"
+#include "world/lone_caller.hpp"
+#include "world/state_service.hpp"
+
+namespace poppystile::coordination {
+namespace {
+
+using protocol::Json;
+
+class DirectoryTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    directory.start();
+    queue.run_until(1);
+    ASSERT_TRUE(directory.loaded());
+  }
+  void write(const std::string& key, const Json& value) {
+    const Json put = {{"write", key}, {"data", value}};
+    service.handle({"POST", "/multi", Json{{"apply", Json::array({put})}}.dump()}, [](auto) {});
+    queue.run_until(queue.now() + 0.2);
+  }
+  static Json record(const std::string& id) {
+    bookkeeping::JobRecord job;
+    job.spec.id = id;
+    job.spec.job_class = job.spec.team = job.spec.image = "x";
+    job.spec.tasks = 1;
+    job.spec.each = {1000, 0, 1000};
+    return bookkeeping::encode(job);
+  }
+
+  world::EventQueue queue{5};
+  world::StateService service{queue, 250, 40, 32};
+  world::LoneCaller caller{queue, service, 0};
+  protocol::Settings settings;
+  StateStore store{caller, caller, settings};
+  Directory directory{caller, store};
+};
+
+TEST_F(DirectoryTest, AnOlderRecordDoesNotUndoACancellationThatASiblingTold) {
+  write(bookkeeping::job_key("req-1"), record("req-1"));
+  directory.learn_cancelled("req-1");
+  EXPECT_TRUE(directory.job("req-1")->record.cancelled);
+  write(bookkeeping::job_key("req-1"), record("req-1"));
+  EXPECT_TRUE(directory.job("req-1")->record.cancelled);
+}
+
+TEST_F(DirectoryTest, ACancellationCountsBeforeTheJobIsKnown) {
+  directory.learn_cancelled("req-2");
+  write(bookkeeping::job_key("req-2"), record("req-2"));
+  EXPECT_TRUE(directory.job("req-2")->record.cancelled);
+  EXPECT_TRUE(directory.cancelled().contains("req-2"));
+}
+
+TEST_F(DirectoryTest, WhatIsOverIsNotNamedAnyMore) {
+  directory.learn_cancelled("req-3");
+  write(bookkeeping::over_key("req-3"), bookkeeping::encode_over(protocol::JobState::cancelled));
+  EXPECT_TRUE(directory.cancelled().empty());
+  directory.learn_cancelled("req-3");
+  EXPECT_TRUE(directory.cancelled().empty());
+}
+
+TEST_F(DirectoryTest, TheProofStandsStillWithTheService) {
+  queue.run_until(10);
+  const double age = caller.now_s() - directory.proven_s();
+  EXPECT_LT(age, 2.5);
+  service.set_down(true);
+  queue.run_until(30);
+  EXPECT_GT(caller.now_s() - directory.proven_s(), 20);
+  service.set_down(false);
+  queue.run_until(35);
+  EXPECT_LT(caller.now_s() - directory.proven_s(), 2.5);
+}
+
+}  // namespace
+}  // namespace poppystile::coordination
