--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -96,6 +96,10 @@
 // times as many reports redirected by siblings as come in here at which a leader resigns: a fault
 // of one zone or of some machines does not reach it.
 inline constexpr std::uint64_t resign_ratio = 4;
+// times `report_s` within which a worker reports (PROTOCOL: plus or minus a quarter).
+inline constexpr double report_jitter = 1.25;
+// machines that fall silent at once for the way to the leader, and not they, to be at fault.
+inline constexpr std::size_t silence_least_machines = 10;
 // machines below which silence says nothing about the way to the leader.
 inline constexpr std::size_t reach_least_machines = 3;
 // seconds for which one that has resigned leaves the key to its siblings, unless workers reach it.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -145,7 +145,20 @@
   // After a pause of our own, such as a stop of the process, counting begins again.
   const bool paused =
       reach_.size() > 1 && now - reach_[reach_.size() - 2].at_s > 2 * constants::peer_beat_s;
+  const bool heard_any = !reach_.empty() && reach_.back().heard > 0;
   if (paused || !leadership_.leading()) reach_.clear();
+  silent_beats_ = heard_any || reach_.empty() ? 0 : silent_beats_ + 1;
+  // Workers that cannot reach us wait for 4 s, are sent back to us by a sibling, and wait again: by
+  // then a short lease has ended. So we do not wait for siblings to tell of them when everybody
+  // falls silent at once. In an outage of the state service nobody could take over.
+  const double quiet_s = silent_beats_ * constants::peer_beat_s;
+  if (quiet_s > constants::report_jitter * settings_.report_s + constants::lease_margin_s &&
+      dispatcher_.live_machines() >= constants::silence_least_machines &&
+      leadership_.grant_holds()) {
+    silent_beats_ = 0;
+    reach_.clear();
+    return leadership_.resign("all workers fell silent at once", constants::stand_aside_s);
+  }
   bool full = false;
   while (!reach_.empty() && now - reach_.front().at_s > constants::reach_window_s) {
     reach_.pop_front();
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -80,6 +80,7 @@
   };
   Reach reach_now_;
   std::deque<Reach> reach_;  // of the last beats
+  int silent_beats_ = 0;     // in a row, as leader, without a report
 };
 
 }  // namespace poppystile::coordination
