--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -20,8 +20,7 @@
     ASSERT_TRUE(directory.loaded());
   }
   void write(const std::string& key, const Json& value) {
-    const Json put = {{"write", key}, {"data", value}};
-    service.handle({"POST", "/multi", Json{{"apply", Json::array({put})}}.dump()}, [](auto) {});
+    world::write_record(service, key, value);
     queue.run_until(queue.now() + 0.2);
   }
   static Json record(const std::string& id) {
--- a/tests/unit/user_desk_test.cpp
+++ b/tests/unit/user_desk_test.cpp
@@ -23,9 +23,7 @@
     const std::vector<protocol::MachineType> types = {
         {"g8", {32000, 8000, 64000}, 50, 1, 1.0, 0.3, 20, {"a", "b"}},
         {"c4", {16000, 0, 32000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
-    const Json put = {{"write", bookkeeping::keys::catalog},
-                      {"data", bookkeeping::encode_catalog(types)}};
-    service.handle({"POST", "/multi", Json{{"apply", Json::array({put})}}.dump()}, [](auto) {});
+    world::write_record(service, bookkeeping::keys::catalog, bookkeeping::encode_catalog(types));
     directory.start();
     queue.run_until(1);
     ASSERT_TRUE(directory.loaded());
--- a/tests/world/lone_caller.hpp
+++ b/tests/world/lone_caller.hpp
@@ -13,6 +13,14 @@
 
 namespace poppystile::world {
 
+// A record as some other node would have written it.
+inline void write_record(StateService& service, const std::string& key,
+                         const protocol::Json& value) {
+  const protocol::Json put = {{"write", key}, {"data", value}};
+  service.handle({"POST", "/multi", protocol::Json{{"apply", protocol::Json::array({put})}}.dump()},
+                 [](const transport::HttpResponse&) {});
+}
+
 class LoneCaller : public transport::Runtime, public transport::HttpCaller {
  public:
   LoneCaller(EventQueue& queue, StateService& service, double lose_answers)
