--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -371,8 +371,7 @@
 }
 
 void World::cancel_at_end(double share, double for_s) {
-  cancel_at_end_ = share;
-  queue_.after(for_s, [this] { cancel_at_end_ = 0; });
+  set_for(cancel_at_end_, share, for_s);
   rules_.on_last_task([this](const std::string& id) {
     if (!cancelling_.contains(id) && queue_.chance(cancel_at_end_))
       queue_.after(queue_.uniform(0, 0.01), [this, id] { cancel(id); });
@@ -556,31 +555,27 @@
   for (Worker* each : some_workers(count)) each->mute(for_s);
 }
 
-void World::late_writes(double share, double for_s) {
-  late_writes_ = share;
-  queue_.after(for_s, [this] { late_writes_ = 0; });
+void World::set_for(double& knob, double value, double for_s) {
+  const double usual = std::exchange(knob, value);
+  queue_.after(for_s, [&knob, usual] { knob = usual; });
 }
 
+void World::late_writes(double share, double for_s) { set_for(late_writes_, share, for_s); }
+
 void World::slow_state(double share, double by_s, double for_s) {
-  slow_share_ = share;
   slow_by_s_ = by_s;
-  queue_.after(for_s, [this] { slow_share_ = 0; });
+  set_for(slow_share_, share, for_s);
 }
 
 void World::lose_answers(double share, double for_s) {
-  const double usual = std::exchange(settings_.lose_answers, share);
-  queue_.after(for_s, [this, usual] { settings_.lose_answers = usual; });
+  set_for(settings_.lose_answers, share, for_s);
 }
 
-void World::slow_frames(double by_s, double for_s) {
-  slow_frames_by_s_ = by_s;
-  queue_.after(for_s, [this] { slow_frames_by_s_ = 0; });
-}
+void World::slow_frames(double by_s, double for_s) { set_for(slow_frames_by_s_, by_s, for_s); }
 
 void World::slow_reports(double share, double by_s, double for_s) {
-  slow_reports_ = share;
   slow_reports_by_s_ = by_s;
-  queue_.after(for_s, [this] { slow_reports_ = 0; });
+  set_for(slow_reports_, share, for_s);
 }
 
 std::uint64_t World::lapses() const {
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -124,6 +124,8 @@
   void sweep();
   void look_for_waiting_jobs();
   void odd_request(int turn);
+  // Spells of the same kind must not overlap, or touch: the end of one would undo the next.
+  void set_for(double& knob, double value, double for_s);
 
   WorldSettings settings_;
   EventQueue queue_;
