--- /dev/null
+++ b/src/planning/eligibility.cpp
@@ -0,0 +1,37 @@
+#include "planning/eligibility.hpp"
+
+#include <algorithm>
+
+#include "constants.hpp"
+
+namespace poppystile::planning {
+
+using bookkeeping::Machine;
+using protocol::JobSpec;
+
+bool may_run_on(const JobSpec& job, const Machine& machine) {
+  if (machine.spot && !job.spot) return false;
+  if (job.zone && *job.zone != machine.zone) return false;
+  return !job.types ||
+         std::find(job.types->begin(), job.types->end(), machine.type) != job.types->end();
+}
+
+bool takes_tasks(const Machine& machine, double now_s) {
+  return machine.heard && machine.confirmed && !machine.suspect && !machine.late &&
+         !machine.releasing && !machine.draining && !machine.recalled && !machine.quarantined &&
+         machine.avoid_until_s <= now_s;
+}
+
+double believed_run_s(const JobSpec& job) {
+  return std::max(job.estimate_s, constants::least_estimate_s);
+}
+
+std::optional<double> due_s(const JobSpec& job, const std::vector<protocol::FinishAim>& aims) {
+  if (job.deadline_s) return job.deadline_s;
+  std::optional<double> due;
+  for (const auto& aim : aims)
+    if (aim.job_class == job.job_class) due = std::min(due.value_or(aim.within_s), aim.within_s);
+  return due;
+}
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/eligibility.hpp
@@ -0,0 +1,28 @@
+/// \file
+/// Which machine may run which job, and what the planner believes about a job's run time and due
+/// time. Pure functions.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "bookkeeping/model.hpp"
+#include "protocol/settings.hpp"
+
+namespace poppystile::planning {
+
+/// Whether the job's constraints on type, zone and spot machines allow `machine`.
+bool may_run_on(const protocol::JobSpec& job, const bookkeeping::Machine& machine);
+
+/// Whether new tasks may be placed on `machine` at the steady time `now_s`.
+bool takes_tasks(const bookkeeping::Machine& machine, double now_s);
+
+/// Seconds that a task of the job is believed to run; never zero.
+double believed_run_s(const protocol::JobSpec& job);
+
+/// Seconds after its submission by which a job should be finished: its own deadline, else the
+/// earliest aim for its class, else nothing.
+std::optional<double> due_s(const protocol::JobSpec& job,
+                            const std::vector<protocol::FinishAim>& aims);
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/job_order.cpp
@@ -0,0 +1,73 @@
+#include "planning/job_order.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+
+namespace poppystile::planning {
+
+using bookkeeping::Job;
+
+JobOrder::JobOrder(const bookkeeping::Model& model, const PlanningContext& context)
+    : model_(model), context_(context) {
+  find_guaranteed();
+}
+
+void JobOrder::add_array(const Job& job) { keys_[&job] = key_of(job); }
+
+bool JobOrder::before(const Job* a, const Job* b) const {
+  if (a->spec().priority != b->spec().priority) return a->spec().priority > b->spec().priority;
+  if (is_guaranteed(*a) != is_guaranteed(*b)) return is_guaranteed(*a);
+  const auto a_key = keys_.find(a);
+  const auto b_key = keys_.find(b);
+  if (a_key != keys_.end() && b_key != keys_.end()) {
+    const SchedulingKey& x = a_key->second;
+    const SchedulingKey& y = b_key->second;
+    if (x.rank != y.rank) return x.rank < y.rank;
+    if (x.at_s != y.at_s) return x.at_s < y.at_s;
+  }
+  return accepted_before(a, b);
+}
+
+bool JobOrder::accepted_before(const Job* a, const Job* b) {
+  if (a->record.accepted_wall_s != b->record.accepted_wall_s)
+    return a->record.accepted_wall_s < b->record.accepted_wall_s;
+  return a->spec().id < b->spec().id;
+}
+
+// Arrays that can still be nearly in time go by the latest start that is; what is overdue goes
+// after them, by age.
+SchedulingKey JobOrder::key_of(const Job& job) const {
+  const double submitted = job.record.accepted_wall_s;
+  const double due = constants::late_due *
+                     due_s(job.spec(), *context_.finish_aims).value_or(constants::default_due_s);
+  const double latest = submitted + due - believed_run_s(job.spec());
+  if (context_.now_wall_s <= latest) return {1, latest};
+  return {2, submitted};
+}
+
+bool JobOrder::is_starved(const Job& job) const {
+  return job.waiting() == job.spec().tasks &&
+         context_.now_wall_s - job.record.accepted_wall_s > constants::starved_s;
+}
+
+void JobOrder::find_guaranteed() {
+  std::map<std::string, std::vector<const Job*>> by_team;
+  for (const auto& [id, job] : model_.jobs)
+    if (!job.record.cancelled) by_team[job.spec().team].push_back(&job);
+  for (const auto& team : *context_.teams) {
+    auto& jobs = by_team[team.name];
+    std::sort(jobs.begin(), jobs.end(), accepted_before);
+    std::int64_t cpus = 0;
+    std::int64_t gpus = 0;
+    for (const Job* job : jobs) {
+      cpus += job->spec().each.cpus * job->spec().tasks;
+      gpus += job->spec().each.gpus * job->spec().tasks;
+      if (cpus <= std::llround(team.cpus * 1000) && gpus <= std::llround(team.gpus * 1000))
+        guaranteed_.insert(job);
+    }
+  }
+}
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/job_order.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// In which order waiting jobs are planned, and which of them are within their team's guarantee.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "planning/planner.hpp"
+
+namespace poppystile::planning {
+
+/// Where an array stands among those of its priority: the lower rank first, then the earlier time.
+struct SchedulingKey {
+  int rank = 0;
+  double at_s = 0;
+};
+
+class JobOrder {
+ public:
+  JobOrder(const bookkeeping::Model& model, const PlanningContext& context);
+
+  /// Computes the key of an array; without it jobs compare by age.
+  void add_array(const bookkeeping::Job& job);
+
+  /// Strict weak order: priority, then guaranteed work, then scheduling keys, then age.
+  bool before(const bookkeeping::Job* a, const bookkeeping::Job* b) const;
+  /// By time of acceptance; ids break ties, so that equal states give equal plans.
+  static bool accepted_before(const bookkeeping::Job* a, const bookkeeping::Job* b);
+
+  /// Whether the job fits into its team's guarantee together with the team's earlier unfinished
+  /// jobs.
+  bool is_guaranteed(const bookkeeping::Job& job) const { return guaranteed_.contains(&job); }
+  /// Whether an array has waited so long that its first tasks go before everything else.
+  bool is_starved(const bookkeeping::Job& job) const;
+
+ private:
+  void find_guaranteed();
+  SchedulingKey key_of(const bookkeeping::Job& job) const;
+
+  const bookkeeping::Model& model_;
+  const PlanningContext& context_;
+  std::set<const bookkeeping::Job*> guaranteed_;
+  std::map<const bookkeeping::Job*, SchedulingKey> keys_;
+};
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/plan_draft.cpp
@@ -0,0 +1,144 @@
+#include "planning/plan_draft.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "constants.hpp"
+
+namespace poppystile::planning {
+
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Placement;
+using bookkeeping::PlacementPhase;
+using protocol::JobKind;
+using protocol::JobSpec;
+using protocol::Resources;
+
+bool MachineSlot::fetches(const std::string& image) const {
+  return std::find(fetching.begin(), fetching.end(), image) != fetching.end();
+}
+
+PlanDraft::PlanDraft(const bookkeeping::Model& model, const PlanningContext& context)
+    : model_(model), context_(context) {
+  for (const auto& team : *context.teams) {
+    limits_[team.name] = {std::llround(team.cpus_max * 1000), std::llround(team.gpus_max * 1000),
+                          0};
+    const auto use = model.teams.find(team.name);
+    if (use != model.teams.end()) used_[team.name] = use->second.used;
+  }
+}
+
+void PlanDraft::add_slots() {
+  for (const auto& [id, machine] : model_.machines)
+    if (takes_tasks(machine, context_.now_s)) slots_.push_back(slot_of(machine));
+}
+
+MachineSlot PlanDraft::slot_of(const Machine& machine) {
+  MachineSlot slot;
+  slot.machine = &machine;
+  slot.room = machine.room();
+  slot.for_arrays = machine.size;
+  slot.entries = machine.placements.size();
+  for (const auto& placement : machine.placements) {
+    if (placement.phase == PlacementPhase::exited) continue;
+    if (placement.stopping) slot.stopping += placement.each;
+    const auto found = model_.jobs.find(placement.job);
+    const Job* job = found == model_.jobs.end() ? nullptr : &found->second;
+    const bool service = job != nullptr && job->spec().kind == JobKind::service;
+    if (job == nullptr || service) slot.for_arrays -= placement.each;
+    if (service) ++replicas_by_zone_[job->spec().job_class][machine.zone];
+    const bool before_run =
+        placement.phase == PlacementPhase::assigned || placement.phase == PlacementPhase::fetching;
+    if (before_run && job != nullptr && !slot.holds(job->spec().image))
+      slot.fetching.push_back(job->spec().image);
+  }
+  for (const auto& placement : machine.placements) slot.load_s += remaining_load_s(slot, placement);
+  return slot;
+}
+
+double PlanDraft::remaining_load_s(const MachineSlot& slot, const Placement& placement) const {
+  const auto job = model_.jobs.find(placement.job);
+  if (placement.phase == PlacementPhase::exited || job == model_.jobs.end()) return 0;
+  const JobSpec& spec = job->second.spec();
+  if (spec.kind == JobKind::service) return 0;
+  const auto abreast = spec.each.times_in(slot.for_arrays);
+  if (abreast <= 0) return 0;
+  const double expected = believed_run_s(spec);
+  const double past =
+      placement.phase == PlacementPhase::running ? context_.now_s - placement.since_s : 0;
+  // An overdue task is taken to need some more: estimates are often too low.
+  return std::max(expected - past, expected / 4) / static_cast<double>(abreast);
+}
+
+std::map<std::string, std::uint32_t>& PlanDraft::tasks_by_zone(const JobSpec& job) {
+  const auto [found, inserted] = tasks_by_zone_.try_emplace(job.id);
+  if (inserted)
+    for (const auto& [index, machine] : model_.jobs.at(job.id).places)
+      ++found->second[machine->zone];
+  return found->second;
+}
+
+std::uint32_t PlanDraft::team_room(const JobSpec& job) const {
+  const auto limit = limits_.find(job.team);
+  if (limit == limits_.end()) return 0;
+  const auto used = used_.find(job.team);
+  const Resources now = used == used_.end() ? Resources{} : used->second;
+  std::int64_t times = constants::max_tasks;
+  if (limit->second.cpus > 0 && job.each.cpus > 0)
+    times = std::min(times, (limit->second.cpus - now.cpus) / job.each.cpus);
+  if (limit->second.gpus > 0 && job.each.gpus > 0)
+    times = std::min(times, (limit->second.gpus - now.gpus) / job.each.gpus);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, times));
+}
+
+bool PlanDraft::zone_allows(const JobSpec& job, const std::string& zone) {
+  if (!job.one_zone && !job.spread) return true;
+  const auto& zones = tasks_by_zone(job);
+  if (job.one_zone)
+    for (const auto& [other, count] : zones)
+      if (count > 0 && other != zone) return false;
+  if (!job.spread) return true;
+  const auto here = zones.find(zone);
+  return here == zones.end() || here->second < (job.tasks + 1) / 2;
+}
+
+bool PlanDraft::fits(const MachineSlot& slot, const JobSpec& job) {
+  return slot.entries < constants::max_tasks_per_machine && job.each.fits(slot.room) &&
+         may_run_on(job, *slot.machine) && zone_allows(job, slot.machine->zone);
+}
+
+void PlanDraft::commit(MachineSlot& slot, const JobSpec& job) {
+  slot.room -= job.each;
+  if (job.kind == JobKind::service) {
+    slot.for_arrays -= job.each;
+    ++replicas_by_zone_[job.job_class][slot.machine->zone];
+  }
+  ++slot.entries;
+  if (!slot.holds(job.image)) slot.fetching.push_back(job.image);
+  used_[job.team] += job.each;
+  if (job.one_zone || job.spread) ++tasks_by_zone(job)[slot.machine->zone];
+  plan_.placements.push_back({slot.machine->id, job.id});
+}
+
+void PlanDraft::stop(MachineSlot& slot, const Placement& placement) {
+  slot.stopping += placement.each;
+  plan_.stops.push_back({slot.machine->id, placement.job, placement.index, placement.attempt});
+}
+
+double PlanDraft::class_share(const std::string& job_class, const std::string& zone) const {
+  const auto zones = replicas_by_zone_.find(job_class);
+  if (zones == replicas_by_zone_.end()) return 0;
+  std::uint32_t all = 1;
+  for (const auto& [name, count] : zones->second) all += count;
+  const auto here = zones->second.find(zone);
+  return here == zones->second.end() ? 0.0 : static_cast<double>(here->second) / all;
+}
+
+std::map<std::string, std::uint32_t> PlanDraft::placed_by_job() const {
+  std::map<std::string, std::uint32_t> placed;
+  for (const auto& each : plan_.placements) ++placed[each.job];
+  return placed;
+}
+
+}  // namespace poppystile::planning
--- /dev/null
+++ b/src/planning/plan_draft.hpp
@@ -0,0 +1,76 @@
+/// \file
+/// The plan under construction: machines as the decisions so far leave them, the teams' use, and
+/// the decisions themselves. Shared by the parts of the planner.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "planning/planner.hpp"
+
+namespace poppystile::planning {
+
+/// A machine that takes tasks, as the plan changes it.
+struct MachineSlot {
+  const bookkeeping::Machine* machine = nullptr;
+  protocol::Resources room;
+  protocol::Resources for_arrays;     // its size less what services hold
+  protocol::Resources stopping;       // held by tasks that were told to stop
+  std::size_t entries = 0;            // tasks on it or placed there
+  std::vector<std::string> fetching;  // images being fetched, or about to be
+  double load_s = 0;                  // seconds of array work, see docs/design.md on the unit
+
+  bool fetches(const std::string& image) const;
+  /// Whether the image is there or on its way: one fetch serves every task that waits for it.
+  bool holds(const std::string& image) const { return machine->holds(image) || fetches(image); }
+};
+
+class PlanDraft {
+ public:
+  PlanDraft(const bookkeeping::Model& model, const PlanningContext& context);
+
+  /// Makes a slot of every machine that takes tasks. Called once, before anything is placed.
+  void add_slots();
+
+  std::vector<MachineSlot>& slots() { return slots_; }
+  const std::vector<MachineSlot>& slots() const { return slots_; }
+  const bookkeeping::Model& model() const { return model_; }
+  const PlanningContext& context() const { return context_; }
+
+  /// How many more tasks of the job its team's limit allows.
+  std::uint32_t team_room(const protocol::JobSpec& job) const;
+  /// Whether `one_zone` and `spread` allow one more task of the job in the zone.
+  bool zone_allows(const protocol::JobSpec& job, const std::string& zone);
+  bool fits(const MachineSlot& slot, const protocol::JobSpec& job);
+  /// Places one task of the job.
+  void commit(MachineSlot& slot, const protocol::JobSpec& job);
+  /// Records that a placement is to be stopped; its room counts as on its way.
+  void stop(MachineSlot& slot, const bookkeeping::Placement& placement);
+  /// Of the class's replicas, the share that is in the zone.
+  double class_share(const std::string& job_class, const std::string& zone) const;
+  /// Placements decided so far, by job.
+  std::map<std::string, std::uint32_t> placed_by_job() const;
+
+  /// The use of each team, with what this plan has placed.
+  std::map<std::string, protocol::Resources>& team_use() { return used_; }
+
+  Plan take() { return std::move(plan_); }
+
+ private:
+  MachineSlot slot_of(const bookkeeping::Machine& machine);
+  double remaining_load_s(const MachineSlot& slot, const bookkeeping::Placement& placement) const;
+  std::map<std::string, std::uint32_t>& tasks_by_zone(const protocol::JobSpec& job);
+
+  const bookkeeping::Model& model_;
+  const PlanningContext& context_;
+  std::vector<MachineSlot> slots_;
+  std::map<std::string, protocol::Resources> limits_;
+  std::map<std::string, protocol::Resources> used_;
+  std::map<std::string, std::map<std::string, std::uint32_t>> tasks_by_zone_;     // of a job
+  std::map<std::string, std::map<std::string, std::uint32_t>> replicas_by_zone_;  // of a class
+  Plan plan_;
+};
+
+}  // namespace poppystile::planning
--- a/src/planning/planner.hpp
+++ b/src/planning/planner.hpp
@@ -1,21 +1,25 @@
-// From the leader's picture to placements and preemptions. Pure: reads the model, changes nothing.
+/// \file
+/// From the leader's cluster state to placements and preemptions. Pure: reads the model, changes
+/// nothing.
 #pragma once
 
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "bookkeeping/model.hpp"
+#include "planning/eligibility.hpp"
 #include "planning/labl.hpp"
 #include "protocol/settings.hpp"
 
 namespace poppystile::planning {
 
+/// One task of `job` goes to `machine`; which task is the caller's choice.
 struct PlannedPlacement {
   std::string machine;
   std::string job;
 };
 
+/// A task to be preempted.
 struct PlannedStop {
   std::string machine;
   std::string job;
@@ -23,13 +27,15 @@
   std::uint64_t attempt = 0;
 };
 
+/// What one planning pass decided, in the order in which it was decided.
 struct Plan {
   std::vector<PlannedPlacement> placements;
   std::vector<PlannedStop> stops;
 };
 
+/// What a plan depends on besides the model. The pointers must not be null.
 struct PlanningContext {
-  double now_s = 0;
+  double now_s = 0;  // steady
   const std::vector<protocol::TeamSettings>* teams = nullptr;
   LablWeights weights;
   double report_s = 1;
@@ -37,16 +43,8 @@
   const std::vector<protocol::FinishAim>* finish_aims = nullptr;
 };
 
-// Seconds after its submission by which a job should be over: its own deadline, else the earliest
-// aim for its class, else nothing.
-std::optional<double> due_s(const protocol::JobSpec& job,
-                            const std::vector<protocol::FinishAim>& aims);
-
-bool may_run_on(const protocol::JobSpec& job, const bookkeeping::Machine& machine);
-bool takes_tasks(const bookkeeping::Machine& machine, double now_s);
-// Seconds a task of the job is believed to run.
-double believed_run_s(const protocol::JobSpec& job);
-
+/// Plans all waiting jobs onto the machines that take tasks: services first, then arrays that have
+/// waited long, then the other arrays by priority.
 Plan make_plan(const bookkeeping::Model& model, const PlanningContext& context);
 
 }  // namespace poppystile::planning
