--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -79,6 +79,7 @@
   Resources used;  // by everything that may be on it
   double fetch_gb_per_s = 1;
   double cache_gb = 0;
+  double boot_s = 0;  // usual for its type
   std::vector<Placement> placements;
   std::vector<CachedImage> images;  // least recently used first
   std::uint64_t session = 0, sequence = 0;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -207,6 +207,12 @@
 inline constexpr double pack_worth_reports = 1.0;
 // the same for a zone that has none of the class's replicas instead of one that has all.
 inline constexpr double zone_worth_reports = 2.0;
+// shares of a type's usual boot time between which a machine is up (PROTOCOL: usually 0.6 to 1.5).
+inline constexpr double boot_earliest_share = 0.6;
+inline constexpr double boot_latest_share = 1.5;
+// seconds after its submission up to which a replica is left to wait for a machine that boots: half
+// of the 90 s after which waiting beside room counts as a fault, and some for the fetch.
+inline constexpr double boot_wait_s = 55;
 // units; sums of fractions must not fall short of a bound.
 inline constexpr double bound_slack_units = 1e-9;
 // rounds after which a bound that places nothing more is given up.
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -64,6 +64,7 @@
   machine.size = known->size;
   machine.fetch_gb_per_s = known->fetch_gb_per_s;
   machine.cache_gb = known->cache_gb;
+  machine.boot_s = known->boot_s;
   return true;
 }
 
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -464,6 +464,8 @@
     if (phase == PlacementPhase::running) {
       ++job->running;
       note_image(machine, *job);
+      spdlog::debug("task runs job={} index={} machine={} after_s={:.1f}", placement.job,
+                    placement.index, machine.id, runtime_.now_s() - placement.since_s);
     }
   }
   placement.phase = phase;
@@ -671,6 +673,7 @@
     Placement& placed = model_.place(machine, model_.jobs.at(each.job), attempt, began);
     placed.mark =
         journal_.append(bookkeeping::placed_entry(placed.job, attempt, machine.id, placed.index));
+    spdlog::debug("task placed job={} index={} machine={}", placed.job, placed.index, machine.id);
   }
   for (const auto& each : made.stops) {
     Placement* placement =
--- a/src/planning/plan_draft.cpp
+++ b/src/planning/plan_draft.cpp
@@ -30,8 +30,25 @@
 }
 
 void PlanDraft::add_slots() {
-  for (const auto& [id, machine] : model_.machines)
-    if (takes_tasks(machine, context_.now_s)) slots_.push_back(slot_of(machine));
+  for (const auto& [id, machine] : model_.machines) {
+    if (takes_tasks(machine, context_.now_s)) {
+      slots_.push_back(slot_of(machine));
+    } else if (machine.session == 0 && !machine.releasing && !machine.draining) {
+      add_booting(machine);
+    }
+  }
+}
+
+void PlanDraft::add_booting(const Machine& machine) {
+  const double age = context_.now_wall_s - machine.hired_wall_s;
+  const double latest = constants::boot_latest_share * machine.boot_s;
+  if (age >= latest) return;  // overdue: nobody knows when it will be up
+  MachineSlot slot;
+  slot.machine = &machine;
+  slot.room = slot.for_arrays = machine.size;
+  const double earliest = constants::boot_earliest_share * machine.boot_s;
+  slot.ready_in_s = (std::max(earliest, age) + latest) / 2 - age;
+  booting_.push_back(std::move(slot));
 }
 
 MachineSlot PlanDraft::slot_of(const Machine& machine) {
@@ -50,8 +67,9 @@
     if (service) ++replicas_by_zone_[job->spec().job_class][machine.zone];
     const bool before_run =
         placement.phase == PlacementPhase::assigned || placement.phase == PlacementPhase::fetching;
-    if (before_run && job != nullptr && !slot.holds(job->spec().image))
-      slot.fetching.push_back(job->spec().image);
+    if (!before_run || job == nullptr || machine.holds(job->spec().image)) continue;
+    if (service) ++slot.replicas_starting;
+    if (!slot.fetches(job->spec().image)) slot.fetching.push_back(job->spec().image);
   }
   for (const auto& placement : machine.placements) slot.load_s += remaining_load_s(slot, placement);
   return slot;
@@ -108,14 +126,21 @@
          may_run_on(job, *slot.machine) && zone_allows(job, slot.machine->zone);
 }
 
-void PlanDraft::commit(MachineSlot& slot, const JobSpec& job) {
+void PlanDraft::occupy(MachineSlot& slot, const JobSpec& job) {
   slot.room -= job.each;
+  ++slot.entries;
   if (job.kind == JobKind::service) {
     slot.for_arrays -= job.each;
     ++replicas_by_zone_[job.job_class][slot.machine->zone];
+    if (!slot.machine->holds(job.image)) ++slot.replicas_starting;
   }
-  ++slot.entries;
   if (!slot.holds(job.image)) slot.fetching.push_back(job.image);
+}
+
+void PlanDraft::reserve(MachineSlot& slot, const JobSpec& job) { occupy(slot, job); }
+
+void PlanDraft::commit(MachineSlot& slot, const JobSpec& job) {
+  occupy(slot, job);
   used_[job.team] += job.each;
   if (job.one_zone || job.spread) ++tasks_by_zone(job)[slot.machine->zone];
   plan_.placements.push_back({slot.machine->id, job.id});
--- a/src/planning/plan_draft.hpp
+++ b/src/planning/plan_draft.hpp
@@ -16,11 +16,13 @@
 struct MachineSlot {
   const bookkeeping::Machine* machine = nullptr;
   protocol::Resources room;
-  protocol::Resources for_arrays;     // its size less what services hold
-  protocol::Resources stopping;       // held by tasks that were told to stop
-  std::size_t entries = 0;            // tasks on it or placed there
-  std::vector<std::string> fetching;  // images being fetched, or about to be
-  double load_s = 0;                  // seconds of array work, see docs/design.md on the unit
+  protocol::Resources for_arrays;       // its size less what services hold
+  protocol::Resources stopping;         // held by tasks that were told to stop
+  std::size_t entries = 0;              // tasks on it or placed there
+  std::vector<std::string> fetching;    // images being fetched, or about to be
+  std::uint32_t replicas_starting = 0;  // of services, that wait for an image
+  double load_s = 0;                    // seconds of array work, see docs/design.md on the unit
+  double ready_in_s = 0;                // until it is expected to be up; 0: it takes tasks now
 
   bool fetches(const std::string& image) const;
   /// Whether the image is there or on its way: one fetch serves every task that waits for it.
@@ -34,6 +36,9 @@
   /// Makes a slot of every machine that takes tasks. Called once, before anything is placed.
   void add_slots();
 
+  /// Machines that are booting, as far as they are not overdue: nothing can be placed on them, but
+  /// a service may be better off waiting for one.
+  std::vector<MachineSlot>& booting() { return booting_; }
   std::vector<MachineSlot>& slots() { return slots_; }
   const std::vector<MachineSlot>& slots() const { return slots_; }
   const bookkeeping::Model& model() const { return model_; }
@@ -46,6 +51,8 @@
   bool fits(const MachineSlot& slot, const protocol::JobSpec& job);
   /// Places one task of the job.
   void commit(MachineSlot& slot, const protocol::JobSpec& job);
+  /// Sets room aside on a booting machine for one task that waits for it; decides nothing.
+  void reserve(MachineSlot& slot, const protocol::JobSpec& job);
   /// Records that a placement is to be stopped; its room counts as on its way.
   void stop(MachineSlot& slot, const bookkeeping::Placement& placement);
   /// Of the class's replicas, the share that is in the zone.
@@ -60,12 +67,15 @@
 
  private:
   MachineSlot slot_of(const bookkeeping::Machine& machine);
+  void add_booting(const bookkeeping::Machine& machine);
+  void occupy(MachineSlot& slot, const protocol::JobSpec& job);
   double remaining_load_s(const MachineSlot& slot, const bookkeeping::Placement& placement) const;
   std::map<std::string, std::uint32_t>& tasks_by_zone(const protocol::JobSpec& job);
 
   const bookkeeping::Model& model_;
   const PlanningContext& context_;
   std::vector<MachineSlot> slots_;
+  std::vector<MachineSlot> booting_;
   std::map<std::string, protocol::Resources> limits_;
   std::map<std::string, protocol::Resources> used_;
   std::map<std::string, std::map<std::string, std::uint32_t>> tasks_by_zone_;     // of a job
--- a/src/planning/service_placement.cpp
+++ b/src/planning/service_placement.cpp
@@ -13,18 +13,19 @@
 void ServicePlacement::place(const Job& job) {
   const JobSpec& spec = job.spec();
   for (std::uint32_t left = std::min(job.to_try(), draft_.team_room(spec)); left > 0; --left) {
-    if (MachineSlot* slot = best_slot(spec)) {
-      draft_.commit(*slot, spec);
+    MachineSlot* slot = best_of(draft_.slots(), spec);
+    if (slot != nullptr) {
+      if (!better_off_waiting(job, *slot)) draft_.commit(*slot, spec);
     } else if (!preemption_.make_room(job)) {
       return;
     }
   }
 }
 
-MachineSlot* ServicePlacement::best_slot(const JobSpec& job) {
+MachineSlot* ServicePlacement::best_of(std::vector<MachineSlot>& slots, const JobSpec& job) {
   MachineSlot* best = nullptr;
   double least = 0;
-  for (auto& slot : draft_.slots()) {
+  for (auto& slot : slots) {
     if (!draft_.fits(slot, job)) continue;
     const double delay = delay_s(job, slot);
     if (best != nullptr && delay >= least) continue;
@@ -34,6 +35,24 @@
   return best;
 }
 
+bool ServicePlacement::better_off_waiting(const Job& job, const MachineSlot& now) {
+  const double waited = draft_.context().now_wall_s - job.record.accepted_wall_s;
+  if (draft_.booting().empty() || waited > constants::boot_wait_s) return false;
+  const JobSpec& spec = job.spec();
+  MachineSlot* later = best_of(draft_.booting(), spec);
+  if (later == nullptr || delay_s(spec, *later) >= delay_s(spec, now)) return false;
+  draft_.reserve(*later, spec);
+  return true;
+}
+
+double ServicePlacement::fetch_cost_s(const JobSpec& job, const MachineSlot& slot) {
+  if (slot.machine->holds(job.image)) return 0;
+  const double one_fetch = job.image_gb / slot.machine->fetch_gb_per_s;
+  const auto under_way = static_cast<double>(slot.fetching.size());
+  if (slot.fetches(job.image)) return one_fetch * under_way;
+  return one_fetch * (under_way + 1 + static_cast<double>(slot.replicas_starting));
+}
+
 double ServicePlacement::delay_s(const JobSpec& job, const MachineSlot& slot) const {
   const Machine& machine = *slot.machine;
   const PlanningContext& context = draft_.context();
@@ -43,12 +62,10 @@
   delay += constants::zone_worth_reports * context.report_s *
            draft_.class_share(job.job_class, machine.zone);
   // The start goes with the answer to its next report.
-  delay += std::clamp(machine.heard_s + context.report_s - context.now_s, 0.0, context.report_s);
-  if (!machine.holds(job.image)) {
-    const auto fetches = slot.fetching.size() + (slot.fetches(job.image) ? 0 : 1);
-    delay += job.image_gb / machine.fetch_gb_per_s * static_cast<double>(fetches);
-  }
-  return delay;
+  delay += slot.ready_in_s > 0 ? slot.ready_in_s + context.report_s
+                               : std::clamp(machine.heard_s + context.report_s - context.now_s, 0.0,
+                                            context.report_s);
+  return delay + fetch_cost_s(job, slot);
 }
 
 }  // namespace poppystile::planning
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -3,58 +3,16 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
 #include "constants.hpp"
-#include "planning/fleet.hpp"
+#include "unit/planning_samples.hpp"
 
 namespace poppystile::planning {
 namespace {
 
-using bookkeeping::Job;
-using bookkeeping::Machine;
-using bookkeeping::Model;
-using bookkeeping::TaskPhase;
-using protocol::JobKind;
-using protocol::JobSpec;
-using protocol::Priority;
-
-JobSpec spec(const std::string& id, JobKind kind, std::uint32_t tasks, Priority priority) {
-  JobSpec job;
-  job.id = id;
-  job.job_class = "c";
-  job.team = "ops";
-  job.kind = kind;
-  job.tasks = tasks;
-  job.priority = priority;
-  job.each = {2000, 0, 1000};
-  job.image = "img";
-  job.image_gb = 1;
-  job.estimate_s = 20;
-  job.spot = true;
-  return job;
-}
-
-void add(Model& model, const JobSpec& job) {
-  Job made;
-  made.record.spec = job;
-  made.phases.assign(job.tasks, TaskPhase::waiting);
-  model.jobs.emplace(job.id, std::move(made));
-}
-
-Machine& add(Model& model, const std::string& id, std::int64_t cpus) {
-  Machine machine;
-  machine.id = id;
-  machine.type = "t";
-  machine.zone = id.substr(0, 1);
-  machine.size = {cpus * 1000, 0, 64000};
-  machine.heard = machine.confirmed = true;
-  machine.session = 1;
-  machine.cache_gb = 10;
-  return model.machines.emplace(id, std::move(machine)).first->second;
-}
-
 class PlannerTest : public testing::Test {
  protected:
   Plan plan() { return make_plan(model, {0, &teams, {1, 3, 1, true}, 1, now_wall, &aims}); }
@@ -262,42 +220,43 @@
   EXPECT_EQ(of_spare(), 3);  // a twentieth of it, and one
 }
 
-// A machine whose replicas fit nowhere else never runs empty; what waited for its room, where
-// nothing could be rented, waited for ever.
-TEST(Fleet, ADrainingMachineTakesWhatCannotBeRented) {
-  Model model;
-  add(model, spec("req-1", JobKind::array, 4, Priority::normal));
-  Machine& draining = add(model, "a1", 16);
-  draining.draining = true;
-  const std::vector<protocol::MachineType> types = {
-      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
-  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
-  FleetContext context;
-  context.types = &types;
-  context.teams = &teams;
-  context.refused = {{"t", "a", true}, {"t", "a", false}};
-  EXPECT_EQ(plan_fleet(model, context).undrain, std::vector<std::string>{"a1"});
-  model.jobs.at("req-1").record.spec.zone = "b";
-  EXPECT_TRUE(plan_fleet(model, context).undrain.empty());
+// A machine with a slow link that is up first once took every waiting replica, each with an image
+// of its own, and was still fetching when those that booted a little later had been up for long.
+TEST_F(PlannerTest, AReplicaWaitsForABootingMachineRatherThanForSlowFetches) {
+  for (int i = 0; i < 4; ++i) {
+    JobSpec replica = spec("req-" + std::to_string(i), JobKind::service, 1, Priority::high);
+    replica.image = "img-" + std::to_string(i);
+    add(model, replica);
+  }
+  add(model, "a1", 32).fetch_gb_per_s = 0.05;  // 20 s an image
+  Machine& booting = add(model, "b1", 32);
+  booting.session = 0;
+  booting.heard = booting.confirmed = false;
+  booting.boot_s = 30;  // and so up after 31 s or so
+  const auto placed = [&] { return plan().placements.size(); };
+  EXPECT_EQ(placed(), 1u);  // the first fetches; for the others that machine would be too slow
+  now_wall = 44;            // any moment now
+  EXPECT_EQ(placed(), 0u);
+  now_wall = 46;  // overdue: nobody knows when it will be up
+  EXPECT_EQ(placed(), 4u);
+  booting.hired_wall_s = now_wall = constants::boot_wait_s + 1;
+  EXPECT_EQ(placed(), 4u);  // they have waited long enough
 }
 
-TEST(Fleet, RentsTheCheapestAllowedAndSkipsWhatWasRefused) {
-  Model model;
-  JobSpec job = spec("req-1", JobKind::array, 8, Priority::normal);
-  add(model, job);
-  const std::vector<protocol::MachineType> types = {
-      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
-  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
-  FleetContext context;
-  context.types = &types;
-  context.teams = &teams;
-  const FleetPlan first = plan_fleet(model, context);
-  ASSERT_EQ(first.hire.size(), 1u);
-  EXPECT_TRUE(first.hire[0].offer.spot);
-  context.refused.insert(first.hire[0].offer);
-  const FleetPlan second = plan_fleet(model, context);
-  ASSERT_EQ(second.hire.size(), 1u);
-  EXPECT_FALSE(second.hire[0].offer.spot);
+// Replicas that share an image share its fetch.
+TEST_F(PlannerTest, ReplicasOfOneImageGatherWhereItIsFetched) {
+  for (int i = 0; i < 4; ++i) {
+    JobSpec replica = spec("req-" + std::to_string(i), JobKind::service, 1, Priority::high);
+    replica.image = "img-" + std::to_string(i % 2);
+    add(model, replica);
+  }
+  add(model, "a1", 32).fetch_gb_per_s = 0.05;
+  add(model, "b1", 32).fetch_gb_per_s = 0.05;
+  std::map<std::string, std::set<std::string>> images;
+  for (const auto& each : plan().placements)
+    images[each.machine].insert(model.jobs.at(each.job).spec().image);
+  EXPECT_EQ(images["a1"].size(), 1u);
+  EXPECT_EQ(images["b1"].size(), 1u);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/unit/planning_samples.hpp
@@ -0,0 +1,54 @@
+// Jobs and machines for tests of the planning layer.
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "bookkeeping/model.hpp"
+
+namespace poppystile::planning {
+
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Model;
+using bookkeeping::TaskPhase;
+using protocol::JobKind;
+using protocol::JobSpec;
+using protocol::Priority;
+
+inline JobSpec spec(const std::string& id, JobKind kind, std::uint32_t tasks, Priority priority) {
+  JobSpec job;
+  job.id = id;
+  job.job_class = "c";
+  job.team = "ops";
+  job.kind = kind;
+  job.tasks = tasks;
+  job.priority = priority;
+  job.each = {2000, 0, 1000};
+  job.image = "img";
+  job.image_gb = 1;
+  job.estimate_s = 20;
+  job.spot = true;
+  return job;
+}
+
+inline void add(Model& model, const JobSpec& job) {
+  Job made;
+  made.record.spec = job;
+  made.phases.assign(job.tasks, TaskPhase::waiting);
+  model.jobs.emplace(job.id, std::move(made));
+}
+
+inline Machine& add(Model& model, const std::string& id, std::int64_t cpus) {
+  Machine machine;
+  machine.id = id;
+  machine.type = "t";
+  machine.zone = id.substr(0, 1);
+  machine.size = {cpus * 1000, 0, 64000};
+  machine.heard = machine.confirmed = true;
+  machine.session = 1;
+  machine.cache_gb = 10;
+  return model.machines.emplace(id, std::move(machine)).first->second;
+}
+
+}  // namespace poppystile::planning
