--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -201,7 +201,7 @@
   static double delay_factor(const JobSpec& spec, const MachineType& type) {
     if (spec.kind != JobKind::service) return 1;
     const double delay = type.boot_s + spec.image_gb / type.fetch_gb_per_s;
-    return 1 + delay / constants::service_delay_worth_s;
+    return std::exp2(delay / constants::service_delay_worth_s);
   }
 
   // Of all machines, those of this kind.
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -3,11 +3,49 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "unit/planning_samples.hpp"
 
 namespace poppystile::planning {
 namespace {
 
+// One type that boots quickly, and one that is cheaper for its size and slow.
+class TwoTypes : public testing::Test {
+ protected:
+  TwoTypes() {
+    context.types = &types;
+    context.teams = &teams;
+  }
+  JobSpec replica(const std::string& id) const {
+    JobSpec job = spec(id, JobKind::service, 1, Priority::production);
+    job.each = {4000, 0, 4000};
+    job.spot = false;
+    job.image_gb = 2.5;
+    return job;
+  }
+  // How many machines of each type the plan rents.
+  std::map<std::string, int> rented() const {
+    std::map<std::string, int> out;
+    for (const auto& each : plan_fleet(model, context).hire) out[each.offer.type] += each.count;
+    return out;
+  }
+  Model model;
+  const std::vector<protocol::MachineType> types = {
+      {"quick", {16000, 0, 64000}, 50, 1, 0.9, 0.3, 35, {"a"}},
+      {"slow", {32000, 0, 64000}, 50, 0.2, 1.4, 0.4, 50, {"a", "b"}}};
+  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
+  FleetContext context;
+};
+
+// Replicas that wait are worth the quicker type, however many of it there are already: a mixed
+// fleet once kept half of a burst waiting for slow boots.
+TEST_F(TwoTypes, WaitingReplicasGetTheQuickType) {
+  context.service_reserve = 0;
+  for (int i = 0; i < 40; ++i) add(model, replica("req-" + std::to_string(i)));
+  EXPECT_EQ(rented(), (std::map<std::string, int>{{"quick", 10}}));
+}
+
 // A machine whose replicas fit nowhere else never runs empty; what waited for its room, where
 // nothing could be rented, waited for ever.
 TEST(Fleet, ADrainingMachineTakesWhatCannotBeRented) {
