--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -58,7 +58,11 @@
       return a->spec().id < b->spec().id;  // the same picture always gives the same plan
     });
     note_team_use();
-    for (const Job* job : jobs) pack(job->spec(), wanted(*job), true);
+    for (const Job* job : jobs) {
+      replicas_wait_ =
+          replicas_wait_ || (job->spec().kind == JobKind::service && job->to_try() > 0);
+      pack(job->spec(), wanted(*job), Need::waiting, true);
+    }
     pack_reserve(jobs);
     FleetPlan plan;
     plan.demand_cpus = demand_;
@@ -124,7 +128,10 @@
     return static_cast<std::uint32_t>(std::ceil(job.to_try() / waves));
   }
 
-  void pack(const JobSpec& spec, std::uint32_t count, bool urgent) {
+  // Whose room is being looked for.
+  enum class Need : std::uint8_t { waiting, reserve };
+
+  void pack(const JobSpec& spec, std::uint32_t count, Need need, bool quick) {
     auto& left = team_left_[spec.team];
     if (spec.each.cpus > 0)
       count = static_cast<std::uint32_t>(std::clamp<std::int64_t>(left / spec.each.cpus, 0, count));
@@ -135,9 +142,9 @@
       if (may_run_on(spec, bin.like)) count -= fill(bin, spec, count);
     }
     while (count > 0) {
-      const auto offer = cheapest(spec, urgent);
+      const auto offer = cheapest(spec, quick);
       if (!offer) {
-        if (urgent) unplaced_.insert(spec.id);
+        if (need == Need::waiting) unplaced_.insert(spec.id);
         return;
       }
       add_bin(*offer);
@@ -172,7 +179,7 @@
     return out;
   }
 
-  std::optional<Offer> cheapest(const JobSpec& spec, bool urgent) const {
+  std::optional<Offer> cheapest(const JobSpec& spec, bool quick) const {
     std::optional<Offer> best;
     double least = 0;
     for (const auto& type : *context_.types) {
@@ -186,7 +193,7 @@
           // Fewer of a kind already there is preferred a little: no zone should hold everything.
           const double price = (spot ? type.spot_price : type.price) / static_cast<double>(abreast);
           const double score = price * (1 + constants::kind_spread * present_share(offer)) *
-                               (urgent ? delay_factor(spec, type) : 1);
+                               (quick ? delay_factor(spec, type) : 1);
           if (!best || score < least) {
             best = offer;
             least = score;
@@ -211,7 +218,8 @@
     return static_cast<double>(found->second) / static_cast<double>(bins_.size() + 1);
   }
 
-  // Room for the services that come next, in the shape of the largest class now running.
+  // Room for the services that come next, in the shape of the largest class now running. While
+  // replicas wait it is what the next of them will take, so it must be quick as well as cheap.
   void pack_reserve(const std::vector<const Job*>& jobs) {
     std::map<std::string, std::pair<const JobSpec*, double>> classes;
     for (const Job* job : jobs) {
@@ -224,7 +232,7 @@
       JobSpec shape = *entry.first;
       shape.zone.reset();
       pack(shape, static_cast<std::uint32_t>(std::ceil(entry.second * context_.service_reserve)),
-           false);
+           Need::reserve, replicas_wait_);
     }
   }
 
@@ -325,6 +333,7 @@
   std::set<std::string> unplaced_;  // jobs for which there is no room and no offer
   std::int64_t demand_ = 0;
   bool draining_ = false;
+  bool replicas_wait_ = false;
 };
 
 }  // namespace
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -46,6 +46,17 @@
   EXPECT_EQ(rented(), (std::map<std::string, int>{{"quick", 10}}));
 }
 
+// While replicas wait, the reserve is what the next of them take: in slow types it once swallowed a
+// burst, one second's reserve after the other. Without a burst the cheaper type serves.
+TEST_F(TwoTypes, TheReserveIsQuickOnlyWhileReplicasWait) {
+  context.service_reserve = 0.5;
+  for (int i = 0; i < 8; ++i) add(model, replica("req-" + std::to_string(i)));
+  EXPECT_EQ(rented(), (std::map<std::string, int>{{"quick", 3}}));
+  Machine& machine = add(model, "a1", 32);
+  for (auto& [id, job] : model.jobs) model.place(machine, job, 1, 0);
+  EXPECT_EQ(rented(), (std::map<std::string, int>{{"slow", 1}}));
+}
+
 // A machine whose replicas fit nowhere else never runs empty; what waited for its room, where
 // nothing could be rented, waited for ever.
 TEST(Fleet, ADrainingMachineTakesWhatCannotBeRented) {
