An array that has waited 45 s begins in any room that a plan leaves free

After each priority's batches what is left free now goes to arrays none of whose tasks has begun for half of those 90 s. A first try put such tasks before all others and was dropped: it went against the tests of the order of arrays.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -196,6 +196,9 @@
 inline constexpr double default_due_s = 300;
 // times its deadline after which a late array counts as overdue; users ask for 1.5 beside 1.
 inline constexpr double late_due = 1.5;
+// seconds after which an array that has not begun begins in any room that a plan leaves free, also
+// where its task has to fetch: half of the 90 s for which nothing may wait beside room.
+inline constexpr double first_task_s = 45;
 // seconds after which an array that has not begun gets a part of its tasks in before all others;
 // PROTOCOL wants the largest to begin within 240 s.
 inline constexpr double starved_s = 150;
--- a/src/planning/array_batches.cpp
+++ b/src/planning/array_batches.cpp
@@ -135,6 +135,14 @@
   }
 }
 
+void ArrayBatches::begin_overdue(const std::vector<const Job*>& jobs) {
+  const auto placed = draft_.placed_by_job();
+  for (const Job* job : jobs)
+    if (order_.must_begin(*job) && !placed.contains(job->spec().id) &&
+        draft_.team_room(job->spec()) > 0)
+      place_anywhere(job->spec());
+}
+
 std::string ArrayBatches::choose_zone(const JobSpec& job) {
   std::map<std::string, std::int64_t> room;
   for (const auto& slot : draft_.slots())
--- a/src/planning/array_batches.hpp
+++ b/src/planning/array_batches.hpp
@@ -28,6 +28,10 @@
   /// there now, for nothing is gained by waiting.
   void fill_holders(const std::vector<const bookkeeping::Job*>& jobs);
 
+  /// Jobs that have waited long begin in whatever room is left: a bound that keeps their tasks
+  /// waiting for a holder, or a queue before them, must not keep them waiting beside room.
+  void begin_overdue(const std::vector<const bookkeeping::Job*>& jobs);
+
  private:
   /// One batch; `entered` counts tasks in earlier batches of this plan. False when no job entered.
   bool place_batch(const std::vector<const bookkeeping::Job*>& jobs,
--- a/src/planning/job_order.cpp
+++ b/src/planning/job_order.cpp
@@ -47,9 +47,14 @@
   return {2, submitted};
 }
 
-bool JobOrder::is_starved(const Job& job) const {
+bool JobOrder::is_starved(const Job& job) const { return has_waited(job, constants::starved_s); }
+
+bool JobOrder::must_begin(const Job& job) const { return has_waited(job, constants::first_task_s); }
+
+// With none of its tasks begun.
+bool JobOrder::has_waited(const Job& job, double seconds) const {
   return job.waiting() == job.spec().tasks &&
-         context_.now_wall_s - job.record.accepted_wall_s > constants::starved_s;
+         context_.now_wall_s - job.record.accepted_wall_s > seconds;
 }
 
 void JobOrder::find_guaranteed() {
--- a/src/planning/job_order.hpp
+++ b/src/planning/job_order.hpp
@@ -32,10 +32,13 @@
   bool is_guaranteed(const bookkeeping::Job& job) const { return guaranteed_.contains(&job); }
   /// Whether an array has waited so long that its first tasks go before everything else.
   bool is_starved(const bookkeeping::Job& job) const;
+  /// Whether an array has waited so long that its first task takes any free room.
+  bool must_begin(const bookkeeping::Job& job) const;
 
  private:
   void find_guaranteed();
   SchedulingKey key_of(const bookkeeping::Job& job) const;
+  bool has_waited(const bookkeeping::Job& job, double seconds) const;
 
   const bookkeeping::Model& model_;
   const PlanningContext& context_;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -66,6 +66,7 @@
     batches.place(jobs);
     batches.claim_guarantees(jobs);
     batches.fill_holders(jobs);
+    batches.begin_overdue(jobs);
   }
   return draft.take();
 }
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "constants.hpp"
+#include "planning/array_batches.hpp"
 #include "unit/planning_samples.hpp"
 
 namespace poppystile::planning {
@@ -128,6 +129,27 @@
   EXPECT_EQ(placed["req-2"], 4);
 }
 
+// Arrays whose tasks are better off waiting for a holder once waited for 90 s beside free room.
+TEST_F(PlannerTest, AnArrayThatHasWaitedLongBeginsInAnyRoom) {
+  add(model, spec("req-1", JobKind::array, 3, Priority::normal));
+  add(model, "a1", 32).fetch_gb_per_s = 0.01;
+  const auto begun = [this](double waited) {
+    model.jobs.at("req-1").record.accepted_wall_s = now_wall - waited;
+    const PlanningContext context{0, &teams, {1, 3, 1, true}, 1, now_wall, &aims};
+    PlanDraft draft(model, context);
+    draft.add_slots();
+    const JobOrder order(model, context);
+    Preemption preemption(draft, order);
+    ArrayBatches(draft, order, preemption).begin_overdue({&model.jobs.at("req-1")});
+    return draft.take().placements.size();
+  };
+  EXPECT_EQ(begun(constants::first_task_s - 1), 0u);
+  EXPECT_EQ(begun(constants::first_task_s + 1), 1u);
+  Machine& elsewhere = add(model, "b1", 2);
+  model.place(elsewhere, model.jobs.at("req-1"), 1, 0);
+  EXPECT_EQ(begun(constants::first_task_s + 1), 0u);  // it has begun
+}
+
 // A machine that may not hear us gets nothing, however empty it looks.
 TEST_F(PlannerTest, SuspectMachinesGetNothing) {
   add(model, spec("req-1", JobKind::array, 4, Priority::normal));
