--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -239,6 +239,9 @@
 inline constexpr double move_share = 0.5;
 // share of the replicas' time that moving them may cost.
 inline constexpr double moving_cost = 0.005;
+// seconds; where two moves would have to be further apart than this, replicas are so few that a single
+// move is felt, and none is made.
+inline constexpr double moving_max_pause_s = 60;
 // reports' intervals that a replica on the move is down.
 inline constexpr double moving_reports = 2.0;
 // failures in a row, of different jobs, that put a machine in quarantine.
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -650,9 +650,11 @@
       if (machine.draining && each.phase == PlacementPhase::running && !each.stopping) next = &each;
     }
   if (next == nullptr) return;
+  const double pause = constants::moving_reports * settings_.report_s /
+                       (static_cast<double>(replicas) * constants::moving_cost);
+  if (pause > constants::moving_max_pause_s) return;
   next->stopping = true;
-  move_at_s_ = now + constants::moving_reports * settings_.report_s /
-                         (static_cast<double>(replicas) * constants::moving_cost);
+  move_at_s_ = now + pause;
 }
 
 void Dispatcher::plan() {
