A leader of few machines also resigns when all of them fall silent at once

Three machines are enough: a needless resignation costs a takeover in which no lease ends, and the successor has not heard the silent machines, so it does not follow. One constant serves both looks.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -98,10 +98,9 @@
 inline constexpr std::uint64_t resign_ratio = 4;
 // times `report_s` within which a worker reports (PROTOCOL: plus or minus a quarter).
 inline constexpr double report_jitter = 1.25;
-// machines that fall silent at once for the way to the leader, and not they, to be at fault.
-inline constexpr std::size_t silence_least_machines = 10;
-// machines below which silence says nothing about the way to the leader.
-inline constexpr std::size_t reach_least_machines = 3;
+// machines below which silence says nothing about the way to the leader. Not more: a small fleet
+// whose leader waits to be told loses its leases.
+inline constexpr std::size_t reach_min_machines = 3;
 // seconds for which one that has resigned leaves the key to its siblings, unless workers reach it.
 inline constexpr double stand_aside_s = 30.0;
 
@@ -239,8 +238,8 @@
 inline constexpr double move_share = 0.5;
 // share of the replicas' time that moving them may cost.
 inline constexpr double moving_cost = 0.005;
-// seconds; where two moves would have to be further apart than this, replicas are so few that a single
-// move is felt, and none is made.
+// seconds; where two moves would have to be further apart than this, replicas are so few that a
+// single move is felt, and none is made.
 inline constexpr double moving_max_pause_s = 60;
 // reports' intervals that a replica on the move is down.
 inline constexpr double moving_reports = 2.0;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -153,8 +153,7 @@
   // falls silent at once. In an outage of the state service nobody could take over.
   const double quiet_s = silent_beats_ * constants::peer_beat_s;
   if (quiet_s > constants::report_jitter * settings_.report_s + constants::lease_margin_s &&
-      dispatcher_.live_machines() >= constants::silence_least_machines &&
-      leadership_.grant_holds()) {
+      dispatcher_.live_machines() >= constants::reach_min_machines && leadership_.grant_holds()) {
     silent_beats_ = 0;
     reach_.clear();
     return leadership_.resign("all workers fell silent at once", constants::stand_aside_s);
@@ -175,10 +174,10 @@
       std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
         return runtime_.wall_s() - each.second.last.sent_wall_s < constants::peer_fresh_s;
       });
-  const bool away = sum.sent_away_elsewhere >= constants::reach_least_machines &&
+  const bool away = sum.sent_away_elsewhere >= constants::reach_min_machines &&
                     sum.sent_away_elsewhere > sum.heard * constants::resign_ratio;
   const bool silence = !siblings_heard && sum.heard == 0 &&
-                       dispatcher_.live_machines() >= constants::reach_least_machines;
+                       dispatcher_.live_machines() >= constants::reach_min_machines;
   if (!away && !silence) return;
   reach_.clear();
   leadership_.resign(away ? "workers reach our siblings and not us" : "no worker reaches us",
