--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -35,6 +35,7 @@
   Sizing(const Model& model, const FleetContext& context) : model_(model), context_(context) {
     for (const auto& [id, machine] : model.machines) {
       demand_ += machine.used.cpus;
+      if (is_overdue(machine)) ++overdue_[{machine.type, machine.zone, machine.spot}];
       if (!counts(machine)) continue;
       if (machine.draining) {
         draining_ = true;
@@ -80,10 +81,17 @@
   }
 
  private:
-  // Whether a machine is there, or booting, to take work.
-  static bool counts(const Machine& machine) {
+  // Whether a machine is there, or booting, to take work. One that is overdue may never come up:
+  // what is needed is rented again meanwhile.
+  bool counts(const Machine& machine) const {
     return !machine.releasing && !machine.recalled && !machine.quarantined && !machine.lost &&
-           !machine.suspect;
+           !machine.suspect && !is_overdue(machine);
+  }
+
+  bool is_overdue(const Machine& machine) const {
+    return machine.session == 0 && machine.boot_s > 0 &&
+           context_.now_wall_s - machine.hired_wall_s >
+               constants::boot_latest_share * machine.boot_s;
   }
 
   static Machine bare(const std::string& type, const std::string& zone, bool spot) {
@@ -193,7 +201,7 @@
           // Fewer of a kind already there is preferred a little: no zone should hold everything.
           const double price = (spot ? type.spot_price : type.price) / static_cast<double>(abreast);
           const double score = price * (1 + constants::kind_spread * present_share(offer)) *
-                               (quick ? delay_factor(spec, type) : 1);
+                               (1 + overdue_share(offer)) * (quick ? delay_factor(spec, type) : 1);
           if (!best || score < least) {
             best = offer;
             least = score;
@@ -211,6 +219,15 @@
     return std::exp2(delay / constants::service_delay_worth_s);
   }
 
+  // Of the machines of this kind, those that are overdue: another type or zone may do better.
+  double overdue_share(const Offer& offer) const {
+    const auto found = overdue_.find(offer);
+    if (found == overdue_.end()) return 0;
+    const auto there = present_.find(offer);
+    const int all = found->second + (there == present_.end() ? 0 : there->second);
+    return static_cast<double>(found->second) / all;
+  }
+
   // Of all machines, those of this kind.
   double present_share(const Offer& offer) const {
     const auto found = present_.find(offer);
@@ -328,6 +345,7 @@
   const FleetContext& context_;
   std::vector<Bin> bins_;
   std::map<Offer, int> present_;  // there or booting
+  std::map<Offer, int> overdue_;  // booting for longer than usual
   std::map<Offer, int> hires_;
   std::map<std::string, std::int64_t> team_left_;
   std::set<std::string> unplaced_;  // jobs for which there is no room and no offer
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -57,6 +57,22 @@
   EXPECT_EQ(rented(), (std::map<std::string, int>{{"slow", 1}}));
 }
 
+// Machines that never come up were counted as room until they were given back after four boot
+// times.
+TEST_F(TwoTypes, WhatIsOverdueIsRentedAgainInAnotherType) {
+  context.service_reserve = 0;
+  for (int i = 0; i < 4; ++i) add(model, replica("req-" + std::to_string(i)));
+  Machine& booting = add(model, "a1", 16);
+  booting.type = "quick";
+  booting.boot_s = 35;
+  booting.session = 0;
+  booting.heard = booting.confirmed = false;
+  context.now_wall_s = 50;
+  EXPECT_TRUE(rented().empty());
+  context.now_wall_s = 53;
+  EXPECT_EQ(rented(), (std::map<std::string, int>{{"slow", 1}}));
+}
+
 // A machine whose replicas fit nowhere else never runs empty; what waited for its room, where
 // nothing could be rented, waited for ever.
 TEST(Fleet, ADrainingMachineTakesWhatCannotBeRented) {
