--- a/src/bookkeeping/journal.cpp
+++ b/src/bookkeeping/journal.cpp
@@ -103,8 +103,8 @@
 // --- entries ---
 
 Json known_entry(const std::string& machine, const std::string& type, const std::string& zone,
-                 bool spot, std::uint64_t session, double hired_wall_s) {
-  return Json::array({known_word, machine, type, zone, spot, session, hired_wall_s});
+                 bool spot, std::uint64_t session, double rented_wall_s) {
+  return Json::array({known_word, machine, type, zone, spot, session, rented_wall_s});
 }
 
 Json session_entry(const std::string& machine, std::uint64_t session) {
@@ -135,7 +135,7 @@
   return Json::array({bits_word, job, first, to_hex(bits)});
 }
 
-Json hire_entry(const std::string& name, const HireRecord& record) {
+Json hire_entry(const std::string& name, const RentalRecord& record) {
   return Json::array({hire_word, name, record.type, record.zone, record.spot,
                       static_cast<unsigned>(record.count)});
 }
@@ -166,7 +166,7 @@
     machine.zone = text_at(entry, 3);
     machine.spot = as_flag(at(entry, 4), "entry");
     machine.session = std::max(machine.session, count_at(entry, 5));
-    machine.hired_wall_s = as_amount(at(entry, 6), "entry");
+    machine.rented_wall_s = as_amount(at(entry, 6), "entry");
   } else if (word == session_word) {
     LedgerMachine& machine = machines[name];
     machine.session = std::max(machine.session, count_at(entry, 2));
@@ -213,10 +213,10 @@
     for (std::size_t i = 0; i < bits.size(); ++i)
       if (bits[i]) job.finished[first + i] = true;
   } else if (word == hire_word) {
-    hires[name] = {text_at(entry, 2), text_at(entry, 3), as_flag(at(entry, 4), "entry"),
-                   static_cast<int>(count_at(entry, 5))};
+    rentals[name] = {text_at(entry, 2), text_at(entry, 3), as_flag(at(entry, 4), "entry"),
+                     static_cast<int>(count_at(entry, 5))};
   } else if (word == settled_word) {
-    hires.erase(name);
+    rentals.erase(name);
   } else {
     throw DecodeError("journal entry of an unknown kind");
   }
--- a/src/bookkeeping/journal.hpp
+++ b/src/bookkeeping/journal.hpp
@@ -19,7 +19,7 @@
 
 // Entries, ready to be written. Runs of indices are inclusive.
 Json known_entry(const std::string& machine, const std::string& type, const std::string& zone,
-                 bool spot, std::uint64_t session, double hired_wall_s);
+                 bool spot, std::uint64_t session, double rented_wall_s);
 // A later session: nothing of the earlier one is left on the machine.
 Json session_entry(const std::string& machine, std::uint64_t session);
 // Released, failed or taken: nothing is left.
@@ -33,7 +33,7 @@
 // The finished tasks of a job from `first` on, as a bitmap.
 Json finished_bits_entry(const std::string& job, std::uint32_t first,
                          const std::vector<bool>& bits);
-Json hire_entry(const std::string& name, const HireRecord& record);
+Json hire_entry(const std::string& name, const RentalRecord& record);
 Json hire_settled_entry(const std::string& name);
 
 // Adds to `last` what `next` says when one entry can carry both; false when it cannot.
@@ -55,7 +55,7 @@
   std::string zone;
   bool spot = false;
   std::uint64_t session = 0;  // 0: never reported
-  double hired_wall_s = 0;
+  double rented_wall_s = 0;
   std::vector<CachedImage> images;  // least recently used first
   std::set<std::pair<std::string, std::uint32_t>> tasks;
 };
@@ -63,7 +63,7 @@
 struct Ledger {
   std::map<std::string, LedgerMachine> machines;
   std::map<std::string, LedgerJob> jobs;
-  std::map<std::string, HireRecord> hires;
+  std::map<std::string, RentalRecord> rentals;
 
   // Throws DecodeError for an entry it does not know or that makes no sense.
   void apply(const Json& entry);
--- a/src/bookkeeping/model.cpp
+++ b/src/bookkeeping/model.cpp
@@ -8,22 +8,22 @@
 
 std::uint32_t Job::take_waiting(Machine& machine) {
   std::uint32_t index = 0;
-  if (!returned.empty()) {
-    index = returned.back();
-    returned.pop_back();
+  if (!requeued.empty()) {
+    index = requeued.back();
+    requeued.pop_back();
   } else {
     // A restored job has tasks beyond the cursor that are finished or placed already.
-    while (phases.at(fresh) != TaskPhase::waiting) ++fresh;
-    index = fresh++;
+    while (phases.at(next_unplaced) != TaskPhase::waiting) ++next_unplaced;
+    index = next_unplaced++;
   }
   phases[index] = TaskPhase::placed;
-  places[index] = &machine;
+  placements[index] = &machine;
   return index;
 }
 
 std::uint32_t Job::to_try() const {
   if (retry_pause_s == 0) return waiting();
-  const auto out = static_cast<std::uint32_t>(places.size());
+  const auto out = static_cast<std::uint32_t>(placements.size());
   return std::min(waiting(), constants::retry_probes - std::min(constants::retry_probes, out));
 }
 
@@ -32,15 +32,15 @@
   retry_pause_s = failed_after_s = 0;
 }
 
-void Job::give_back(std::uint32_t index) {
+void Job::requeue(std::uint32_t index) {
   phases[index] = TaskPhase::waiting;
-  places.erase(index);
-  if (index < fresh) returned.push_back(index);
+  placements.erase(index);
+  if (index < next_unplaced) requeued.push_back(index);
 }
 
 void Job::finish(std::uint32_t index) {
   phases[index] = TaskPhase::finished;
-  places.erase(index);
+  placements.erase(index);
   ++finished;
 }
 
@@ -78,7 +78,7 @@
 Placement& Model::restore(Machine& machine, Job& job, std::uint32_t index, std::uint64_t attempt,
                           double now_s) {
   job.phases[index] = TaskPhase::placed;
-  job.places[index] = &machine;
+  job.placements[index] = &machine;
   Placement placement;
   placement.job = job.spec().id;
   placement.team = job.spec().team;
--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -26,11 +26,11 @@
 
 struct Job {
   JobRecord record;
-  std::uint64_t stamp = 0;  // of the job's record, for conditional changes
+  std::uint64_t version = 0;  // of the job's record, for conditional changes
   std::vector<TaskPhase> phases;
-  std::uint32_t fresh = 0;                             // tasks from here on were never placed
-  std::vector<std::uint32_t> returned;                 // tasks that came back from a machine
-  std::unordered_map<std::uint32_t, Machine*> places;  // of the placed tasks
+  std::uint32_t next_unplaced = 0;                         // tasks from here on were never placed
+  std::vector<std::uint32_t> requeued;                     // tasks that came back from a machine
+  std::unordered_map<std::uint32_t, Machine*> placements;  // of the placed tasks
   std::uint32_t finished = 0, running = 0;
   double retry_at_s = 0;            // steady; failed tasks wait until then
   double retry_pause_s = 0;         // above 0: it fails wherever it runs
@@ -39,7 +39,7 @@
 
   const JobSpec& spec() const { return record.spec; }
   std::uint32_t waiting() const {
-    return spec().tasks - static_cast<std::uint32_t>(places.size()) - finished;
+    return spec().tasks - static_cast<std::uint32_t>(placements.size()) - finished;
   }
   // Of those, how many may be tried: a few when all fail.
   std::uint32_t to_try() const;
@@ -48,7 +48,7 @@
   bool all_finished() const { return finished == spec().tasks; }
   // The next task to be placed; the caller names its machine.
   std::uint32_t take_waiting(Machine& machine);
-  void give_back(std::uint32_t index);
+  void requeue(std::uint32_t index);
   void finish(std::uint32_t index);
 };
 
@@ -62,9 +62,9 @@
   Resources each;
   PlacementPhase phase = PlacementPhase::assigned;
   bool stopping = false;
-  std::uint64_t shown = 0;  // sequence number of the newest report that listed it
-  bool finished = false;    // exited with done
-  std::uint64_t mark = 0;   // the journal is to land this far before a start, or a reap
+  std::uint64_t shown = 0;         // sequence number of the newest report that listed it
+  bool finished = false;           // exited with done
+  std::uint64_t log_position = 0;  // the journal is to land this far before a start, or a reap
   std::uint64_t sent_session = 0, sent_sequence = 0;  // newest report that a start answered
   int unheard = 0;     // starts sent that the next report did not show
   double since_s = 0;  // steady; of the phase
@@ -101,7 +101,7 @@
   double heard_s = 0;        // steady; of the newest report
   double last_answer_s = 0;  // steady
   bool answered = false;     // by this leader, ever
-  double hired_wall_s = 0;
+  double rented_wall_s = 0;
 
   Resources room() const {
     Resources free = size;
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -47,7 +47,7 @@
   double gb = 0;
 };
 
-struct HireRecord {
+struct RentalRecord {
   std::string type;
   std::string zone;
   bool spot = false;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -19,17 +19,17 @@
 inline constexpr double server_socket_share = 0.75;
 // sockets a controller needs for itself: two listeners, and to each of the cloud and the state
 // service one at least besides the one that a watch holds.
-inline constexpr std::size_t least_own_sockets = 8;
+inline constexpr std::size_t min_own_sockets = 8;
 // connections per remote service; enough to hide latency, far below any socket limit.
 inline constexpr std::size_t client_connections = 24;
 // waiting calls per remote service before new ones are refused at once.
 inline constexpr std::size_t client_backlog = 512;
-// bytes; a frame between siblings holds a status with at most `most_told_jobs` counts and
-// `most_told_cancellations` names, of some 60 and 42 bytes with the longest ids; anything larger is
+// bytes; a frame between siblings holds a status with at most `max_told_jobs` counts and
+// `max_told_cancellations` names, of some 60 and 42 bytes with the longest ids; anything larger is
 // garbage.
 inline constexpr std::size_t max_peer_frame_bytes = 512 * 1024;
 // incoming connections of siblings: a handful, some of them half dead.
-inline constexpr int most_peer_connections = 16;
+inline constexpr int max_peer_connections = 16;
 
 // --- log ---
 // a line equal to the one before it is only counted for this long: enough to hold back a flood.
@@ -63,7 +63,7 @@
 inline constexpr double cloud_rate_share = 0.9;
 
 // calls for users that may wait for the rate limit; at the usual rates these are out in a second.
-inline constexpr std::size_t most_waiting_users = 60;
+inline constexpr std::size_t max_waiting_users = 60;
 
 // --- leadership ---
 // milliseconds; life of the leader's grant: long enough to ride out lost packets and slow
@@ -80,12 +80,12 @@
 // seconds; allowance for late timers and packets wherever a lease is waited out.
 inline constexpr double lease_margin_s = 1.0;
 // jobs whose counts one status frame tells; the counts are for display only.
-inline constexpr std::size_t most_told_jobs = 3000;
+inline constexpr std::size_t max_told_jobs = 3000;
 // seconds between status frames to siblings.
-inline constexpr double peer_beat_s = 1.0;
+inline constexpr double heartbeat_s = 1.0;
 // cancelled jobs that one status frame names; a frame that would have to name more vouches for
 // nothing. Jobs that are cancelled and not over are few, except in a long outage.
-inline constexpr std::size_t most_told_cancellations = 6000;
+inline constexpr std::size_t max_told_cancellations = 6000;
 // seconds; a sibling's word is believed for this long.
 inline constexpr double peer_fresh_s = 3.0;
 
@@ -131,7 +131,7 @@
 // value limit.
 inline constexpr std::uint32_t bitmap_chunk_tasks = 16'000;
 // bytes of values in one transaction; PROTOCOL's bound is 64 KiB with everything around them.
-inline constexpr std::size_t most_transaction_bytes = 48'000;
+inline constexpr std::size_t max_transaction_bytes = 48'000;
 // segments; the ring of keys that the journal goes round in. A snapshot is due after half of them,
 // so that the other half is there while it is written.
 inline constexpr std::uint64_t journal_ring = 256;
@@ -185,12 +185,12 @@
 // seconds between plans at most; a plan costs processor time that reports need too.
 inline constexpr double plan_gap_s = 0.2;
 // seconds; a run time is never believed to be shorter, so that loads stay finite.
-inline constexpr double least_estimate_s = 1.0;
+inline constexpr double min_estimate_s = 1.0;
 // times its own duration that a plan leaves free after it: so plans take a tenth of the processor's
 // share at most.
 inline constexpr double plan_rest = 9;
 // batches one plan puts together at most, each from what the one before it left.
-inline constexpr int most_batches = 3;
+inline constexpr int max_batches = 3;
 // seconds after submission by which an array should be over that has no deadline and no aim.
 inline constexpr double default_due_s = 300;
 // times its deadline after which a late array counts as overdue; users ask for 1.5 beside 1.
@@ -203,7 +203,7 @@
 inline constexpr double starved_s = 150;
 inline constexpr std::uint32_t starved_part = 20;
 // looks for work to preempt in one plan; each goes through all machines.
-inline constexpr int most_looks_for_room = 20;
+inline constexpr int max_looks_for_room = 20;
 // reports' intervals of delay that a service takes for a machine full of services instead of one
 // that has none: enough to keep replicas together, too little to wait for a fetch.
 inline constexpr double pack_worth_reports = 1.0;
@@ -240,7 +240,7 @@
 inline constexpr double moving_cost = 0.005;
 // seconds; where two moves would have to be further apart than this, replicas are so few that a
 // single move is felt, and none is made.
-inline constexpr double moving_max_pause_s = 60;
+inline constexpr double max_moving_pause_s = 60;
 // reports' intervals that a replica on the move is down.
 inline constexpr double moving_reports = 2.0;
 // failures in a row, of different jobs, that put a machine in quarantine.
@@ -255,9 +255,9 @@
 // seconds between looks at types and prices; prices move slowly.
 inline constexpr double catalog_every_s = 60.0;
 // seconds before a rental without an answer is asked for again.
-inline constexpr double hire_again_s = 2.0;
+inline constexpr double rental_retry_s = 2.0;
 // names; PROTOCOL's bound on one release.
-inline constexpr std::size_t most_released = 100;
+inline constexpr std::size_t max_released = 100;
 // seconds between machine lists.
 inline constexpr double list_every_s = 5.0;
 // seconds; first and longest pause before a type and zone that had no capacity is asked again. It
@@ -269,7 +269,7 @@
 // seconds between passes over the fleet's size.
 inline constexpr double fleet_pass_s = 1.0;
 // machines in one rental request; PROTOCOL's bound.
-inline constexpr int max_hire = 50;
+inline constexpr int max_rented_machines = 50;
 // seconds; a machine for a service is worth twice its price when its replica is up this much
 // sooner. About a boot: below it price decides, far above it speed does.
 inline constexpr double service_delay_worth_s = 30.0;
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -30,20 +30,20 @@
 }
 
 void CloudDesk::begin(bookkeeping::Model& model,
-                      const std::map<std::string, bookkeeping::HireRecord>& hires) {
+                      const std::map<std::string, bookkeeping::RentalRecord>& rentals) {
   ++term_;
   model_ = &model;
   began_s_ = runtime_.now_s();
-  hires_.clear();
+  rentals_.clear();
   to_release_.clear();
   released_.clear();
   demands_.clear();
   listing_ = releasing_ = catalog_busy_ = false;
   if (types_.empty()) types_ = directory_.types();
-  for (const auto& [name, record] : hires) {
-    Hire hire{record};
+  for (const auto& [name, record] : rentals) {
+    Rental hire{record};
     hire.asked = true;  // by a former leader, for all we know
-    hires_[name] = hire;
+    rentals_[name] = hire;
   }
 }
 
@@ -71,7 +71,7 @@
 Machine* CloudDesk::admit(Machine machine) {
   if (!fill_in(machine)) return nullptr;
   journal_.append(bookkeeping::known_entry(machine.id, machine.type, machine.zone, machine.spot,
-                                           machine.session, machine.hired_wall_s));
+                                           machine.session, machine.rented_wall_s));
   const std::string id = machine.id;
   return &model_->machines.insert_or_assign(id, std::move(machine)).first->second;
 }
@@ -95,12 +95,12 @@
       affordable())
     fetch_catalog();
   if (types_.empty()) return;
-  for (auto& [name, hire] : hires_)
-    if (journal_.durable(hire.mark) && !hire.asking && hire.ask_at_s <= now && affordable())
-      ask_for_machines(name, hire);
+  for (auto& [name, hire] : rentals_)
+    if (journal_.durable(hire.log_position) && !hire.asking && hire.ask_at_s <= now && affordable())
+      request_rental(name, hire);
   if (now - sized_s_ >= constants::fleet_pass_s) {
     sized_s_ = now;
-    give_back_lost();
+    release_lost();
     size_fleet();
   }
   release_due();
@@ -140,17 +140,17 @@
 
 // --- rentals ---
 
-void CloudDesk::ask_for_machines(const std::string& name, Hire& hire) {
+void CloudDesk::request_rental(const std::string& name, Rental& hire) {
   hire.asking = hire.asked = true;
   const auto& want = hire.record;
   call({"POST", protocol::hire_path,
         protocol::encode_hire(name, want.type, want.zone, want.spot, want.count)},
        [this, name](HttpResponse response) {
-         const auto it = hires_.find(name);
-         if (it == hires_.end()) return;
-         Hire& asked = it->second;
+         const auto it = rentals_.find(name);
+         if (it == rentals_.end()) return;
+         Rental& asked = it->second;
          asked.asking = false;
-         asked.ask_at_s = runtime_.now_s() + constants::hire_again_s;
+         asked.ask_at_s = runtime_.now_s() + constants::rental_retry_s;
          if (response.status == 200) return hired(name, response.body);
          const bool refused =
              response.status == 400 ||
@@ -171,12 +171,12 @@
 }
 
 void CloudDesk::settle(const std::string& name) {
-  hires_.erase(name);
+  rentals_.erase(name);
   journal_.append(bookkeeping::hire_settled_entry(name));
 }
 
 void CloudDesk::hired(const std::string& name, const std::string& body) {
-  const bookkeeping::HireRecord record = hires_[name].record;
+  const bookkeeping::RentalRecord record = rentals_[name].record;
   std::vector<std::string> ids;
   try {
     ids = protocol::parse_hired(body);
@@ -195,7 +195,7 @@
     machine.type = record.type;
     machine.zone = record.zone;
     machine.spot = record.spot;
-    machine.hired_wall_s = runtime_.wall_s();
+    machine.rented_wall_s = runtime_.wall_s();
     admit(std::move(machine));
   }
   // After the machines, so that no reader of the journal ever misses both.
@@ -215,7 +215,7 @@
   context.service_reserve = properties_.service_reserve;
   for (const auto& [offer, refusal] : refusals_)
     if (refusal.until_s > context.now_s) context.refused.insert(offer);
-  for (const auto& [name, hire] : hires_)
+  for (const auto& [name, hire] : rentals_)
     context.underway.push_back(
         {{hire.record.type, hire.record.zone, hire.record.spot}, hire.record.count});
   const planning::FleetPlan plan = planning::plan_fleet(*model_, context);
@@ -223,14 +223,14 @@
   // together with what is wanted by then.
   const auto most = static_cast<std::size_t>(std::ceil(settings_.cloud_rps));
   for (const auto& want : plan.hire) {
-    if (hires_.size() >= most) break;
+    if (rentals_.size() >= most) break;
     // The token makes the name this leader's own: it is never used again.
     const std::string name =
         "h-" + std::to_string(leadership_.token()) + "-" + std::to_string(++names_);
-    Hire hire{{want.offer.type, want.offer.zone, want.offer.spot, want.count}};
+    Rental hire{{want.offer.type, want.offer.zone, want.offer.spot, want.count}};
     // The intent is written before the request is made.
-    hire.mark = journal_.append(bookkeeping::hire_entry(name, hire.record));
-    hires_[name] = hire;
+    hire.log_position = journal_.append(bookkeeping::hire_entry(name, hire.record));
+    rentals_[name] = hire;
   }
   demands_.emplace_back(context.now_s, plan.demand_cpus);
   for (const auto& id : plan.release) {
@@ -249,7 +249,7 @@
 // What nobody has asked for yet and has been refused under another name meanwhile.
 void CloudDesk::drop_hopeless() {
   std::vector<std::string> hopeless;
-  for (const auto& [name, hire] : hires_) {
+  for (const auto& [name, hire] : rentals_) {
     const auto refusal = refusals_.find({hire.record.type, hire.record.zone, hire.record.spot});
     if (!hire.asked && refusal != refusals_.end() && refusal->second.until_s > runtime_.now_s())
       hopeless.push_back(name);
@@ -260,7 +260,7 @@
 // --- releases ---
 
 // Machines that never came up, fell silent for good, or fail everything.
-void CloudDesk::give_back_lost() {
+void CloudDesk::release_lost() {
   const double now = runtime_.now_s();
   for (auto& [id, machine] : model_->machines) {
     if (machine.releasing) continue;
@@ -269,7 +269,7 @@
     const MachineType* known = type(machine.type);
     const double boot = known == nullptr ? 0 : known->boot_s;
     if (machine.session == 0) {
-      const double age = runtime_.wall_s() - machine.hired_wall_s;
+      const double age = runtime_.wall_s() - machine.rented_wall_s;
       if (age > boot * constants::boot_patience + constants::boot_patience_floor_s)
         why = "never came up";
     } else if (silent > settings_.lease_s + constants::silence_grace_s) {
@@ -293,7 +293,7 @@
   std::vector<std::string> batch;
   for (const auto& id : to_release_) {
     batch.push_back(id);
-    if (batch.size() == constants::most_released) break;
+    if (batch.size() == constants::max_released) break;
   }
   release(batch);
 }
@@ -348,7 +348,7 @@
     fresh.type = machine.type;
     fresh.zone = machine.zone;
     fresh.spot = machine.spot;
-    fresh.hired_wall_s = runtime_.wall_s() - machine.age_s;
+    fresh.rented_wall_s = runtime_.wall_s() - machine.age_s;
     if (admit(std::move(fresh)) == nullptr) return;
     spdlog::info("machine adopted from the list id={}", machine.id);
     it = model_->machines.find(machine.id);
--- a/src/coordination/cloud_desk.hpp
+++ b/src/coordination/cloud_desk.hpp
@@ -20,9 +20,9 @@
 namespace poppystile::coordination {
 
 // A rental on its way: recorded, then asked for under its name until there is an answer.
-struct Hire {
-  bookkeeping::HireRecord record;
-  std::uint64_t mark = 0;  // asked for once the journal has landed this far
+struct Rental {
+  bookkeeping::RentalRecord record;
+  std::uint64_t log_position = 0;  // asked for once the journal has landed this far
   bool asking = false;
   bool asked = false;  // so it may be carried out late
   double ask_at_s = 0;
@@ -35,10 +35,10 @@
             const protocol::Settings& settings, const protocol::Properties& properties);
 
   void begin(bookkeeping::Model& model,
-             const std::map<std::string, bookkeeping::HireRecord>& hires);
+             const std::map<std::string, bookkeeping::RentalRecord>& rentals);
   void end();
   void pass();  // called often while leading
-  const std::map<std::string, Hire>& hires() const { return hires_; }
+  const std::map<std::string, Rental>& rentals() const { return rentals_; }
   bool released(const std::string& machine) const { return released_.contains(machine); }
   const protocol::MachineType* type(const std::string& name) const;
   // A machine's fields that follow from its type.
@@ -55,11 +55,11 @@
   bool affordable();
   void fetch_catalog();
   void record_catalog(const std::vector<protocol::MachineType>& types);
-  void ask_for_machines(const std::string& name, Hire& hire);
+  void request_rental(const std::string& name, Rental& hire);
   void refuse(const planning::Offer& offer);
   void settle(const std::string& name);
   void hired(const std::string& name, const std::string& body);
-  void give_back_lost();
+  void release_lost();
   void size_fleet();
   void drop_hopeless();
   void release(const std::vector<std::string>& machines);
@@ -77,7 +77,7 @@
   const protocol::Properties& properties_;
   bookkeeping::Model* model_ = nullptr;
   std::vector<protocol::MachineType> types_;  // with current prices; the directory's until then
-  std::map<std::string, Hire> hires_;
+  std::map<std::string, Rental> rentals_;
   std::set<std::string> to_release_;
   std::set<std::string> released_;
   struct Refusal {
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -49,11 +49,11 @@
   leadership_.on_won([this] { won(); });
   leadership_.on_lost([this] { lost(); });
   directory_.on_job([this](const std::string& id) { job_changed(id); });
-  journal_.on_landed([this] { look_at_held(); });
+  journal_.on_landed([this] { answer_pending(); });
   journal_.on_snapshot([this] { return snapshot(); });
   cloud_.on_gone([this](Machine& machine, const std::string& why) {
     end_all(machine, why);
-    held_.erase(machine.id);
+    pending_responses_.erase(machine.id);
     journal_.append(bookkeeping::gone_entry(machine.id));
     model_.machines.erase(std::string(machine.id));
   });
@@ -76,7 +76,7 @@
   cloud_.end();
   journal_.end();
   closable_.clear();
-  for (auto& [id, held] : std::exchange(held_, {}))
+  for (auto& [id, held] : std::exchange(pending_responses_, {}))
     held.respond({421, protocol::encode_redirect("")});
   model_ = {};
 }
@@ -113,7 +113,7 @@
 void Dispatcher::build(const Ledger& ledger) {
   model_ = {};
   ready_s_ = runtime_.now_s();
-  cloud_.begin(model_, ledger.hires);
+  cloud_.begin(model_, ledger.rentals);
   for (const auto& [id, known] : directory_.jobs()) {
     Job& job = add_job(id, known);
     const auto found = ledger.jobs.find(id);
@@ -141,7 +141,7 @@
   fresh.zone = known.zone;
   fresh.spot = known.spot;
   fresh.session = known.session;
-  fresh.hired_wall_s = known.hired_wall_s;
+  fresh.rented_wall_s = known.rented_wall_s;
   fresh.images = known.images;
   fresh.last_answer_s = fresh.heard_s = ready_s_;
   cloud_.fill_in(fresh);
@@ -163,7 +163,7 @@
   };
   for (const auto& [id, machine] : model_.machines) {
     add(bookkeeping::known_entry(id, machine.type, machine.zone, machine.spot, machine.session,
-                                 machine.hired_wall_s));
+                                 machine.rented_wall_s));
     for (const auto& image : machine.images) add(bookkeeping::image_entry(id, image));
     for (const auto& each : machine.placements)
       if (each.phase != PlacementPhase::exited)
@@ -179,7 +179,7 @@
       add(bookkeeping::finished_bits_entry(id, static_cast<std::uint32_t>(first), bits));
     }
   }
-  for (const auto& [name, hire] : cloud_.hires()) add(bookkeeping::hire_entry(name, hire.record));
+  for (const auto& [name, hire] : cloud_.rentals()) add(bookkeeping::hire_entry(name, hire.record));
   return out;
 }
 
@@ -198,7 +198,7 @@
     job = &add_job(id, *known);
   } else {
     job->record = known->record;
-    job->stamp = known->version;
+    job->version = known->version;
   }
   if (known->record.cancelled) stop_all(id);
   note_closable(id, *job);
@@ -208,7 +208,7 @@
 Job& Dispatcher::add_job(const std::string& id, const KnownJob& known) {
   Job job;
   job.record = known.record;
-  job.stamp = known.version;
+  job.version = known.version;
   job.phases.assign(known.record.spec.tasks, TaskPhase::waiting);
   return model_.jobs.insert_or_assign(id, std::move(job)).first->second;
 }
@@ -216,13 +216,13 @@
 void Dispatcher::stop_all(const std::string& id) {
   Job* job = model_.job(id);
   if (job == nullptr) return;
-  for (const auto& [index, machine] : job->places)
+  for (const auto& [index, machine] : job->placements)
     for (auto& each : machine->placements)
       if (each.index == index && each.job == id) each.stopping = true;
 }
 
 void Dispatcher::note_closable(const std::string& id, const Job& job) {
-  if (job.record.cancelled ? job.places.empty() : job.all_finished()) closable_.insert(id);
+  if (job.record.cancelled ? job.placements.empty() : job.all_finished()) closable_.insert(id);
 }
 
 TaskCounts Dispatcher::counts(const std::string& job) const {
@@ -268,18 +268,18 @@
   const auto order = std::make_pair(report.session, report.sequence);
   if (order <= std::make_pair(machine->session, machine->sequence)) return nothing();
   reconcile(*machine, report);
-  HeldAnswer answer{std::move(respond),
-                    commands_for(*machine, report),
-                    report.session,
-                    report.sequence,
-                    plans_,
-                    runtime_.now_s() + constants::hold_answer_s};
+  PendingResponse answer{std::move(respond),
+                         commands_for(*machine, report),
+                         report.session,
+                         report.sequence,
+                         plans_,
+                         runtime_.now_s() + constants::hold_answer_s};
   // The former report's answer is not waited for any more.
-  held_.erase(machine->id);
+  pending_responses_.erase(machine->id);
   const bool room_in_demand = plan_due_ && planning::takes_tasks(*machine, runtime_.now_s()) &&
                               machine->room().cpus >= least_waiting_cpus_;
   if (machine->confirmed && (room_in_demand || start_under_way(*machine))) {
-    held_[machine->id] = std::move(answer);
+    pending_responses_[machine->id] = std::move(answer);
     return;
   }
   send_answer(*machine, std::move(answer));
@@ -287,17 +287,19 @@
 
 bool Dispatcher::start_under_way(const Machine& machine) const {
   return std::any_of(machine.placements.begin(), machine.placements.end(), [&](const auto& each) {
-    return each.phase == PlacementPhase::assigned && !each.stopping && !journal_.durable(each.mark);
+    return each.phase == PlacementPhase::assigned && !each.stopping &&
+           !journal_.durable(each.log_position);
   });
 }
 
 // Starts go with the answer to a report, which is never carried out late: a worker drops it after
 // a few seconds, and its next report tells whether it came.
-void Dispatcher::send_answer(Machine& machine, HeldAnswer answer) {
+void Dispatcher::send_answer(Machine& machine, PendingResponse answer) {
   if (machine.confirmed)
     for (auto& each : machine.placements) {
       // The journal must name the place before anything starts there.
-      if (each.phase != PlacementPhase::assigned || each.stopping || !journal_.durable(each.mark))
+      if (each.phase != PlacementPhase::assigned || each.stopping ||
+          !journal_.durable(each.log_position))
         continue;
       each.sent_session = answer.session;
       each.sent_sequence = answer.sequence;
@@ -308,25 +310,25 @@
   answer.respond({200, protocol::encode_commands(leadership_.token(), answer.commands)});
 }
 
-void Dispatcher::answer_held(const std::string& id) {
-  const auto held = held_.find(id);
-  if (held == held_.end()) return;
-  HeldAnswer answer = std::move(held->second);
-  held_.erase(held);
+void Dispatcher::answer_pending_of(const std::string& id) {
+  const auto held = pending_responses_.find(id);
+  if (held == pending_responses_.end()) return;
+  PendingResponse answer = std::move(held->second);
+  pending_responses_.erase(held);
   const auto machine = model_.machines.find(id);
   if (machine != model_.machines.end()) send_answer(machine->second, std::move(answer));
 }
 
-void Dispatcher::look_at_held() {
+void Dispatcher::answer_pending() {
   const double now = runtime_.now_s();
   std::vector<std::string> due;
-  for (const auto& [id, held] : held_) {
+  for (const auto& [id, held] : pending_responses_) {
     const auto machine = model_.machines.find(id);
     const bool waits = machine != model_.machines.end() &&
                        (held.plan == plans_ || start_under_way(machine->second));
     if (!waits || now >= held.until_s) due.push_back(id);
   }
-  for (const auto& id : due) answer_held(id);
+  for (const auto& id : due) answer_pending_of(id);
 }
 
 Machine* Dispatcher::known_machine(const protocol::Report& report) {
@@ -340,7 +342,7 @@
   machine.type = report.type;
   machine.zone = report.zone;
   machine.spot = report.spot;
-  machine.hired_wall_s = runtime_.wall_s();
+  machine.rented_wall_s = runtime_.wall_s();
   spdlog::info("machine adopted from its report id={}", machine.id);
   return cloud_.admit(std::move(machine));
 }
@@ -493,7 +495,8 @@
   job->trust();
   job->finish(placement.index);
   // The worker keeps the task until this has landed.
-  placement.mark = journal_.append(bookkeeping::finished_entry(placement.job, placement.index));
+  placement.log_position =
+      journal_.append(bookkeeping::finished_entry(placement.job, placement.index));
   note_closable(placement.job, *job);
 }
 
@@ -542,7 +545,7 @@
     const bool over = seen.state == TaskState::exited;
     if (over) {
       // A finished task is kept until its bit is durable.
-      if (placement != nullptr && placement->finished && !journal_.durable(placement->mark))
+      if (placement != nullptr && placement->finished && !journal_.durable(placement->log_position))
         continue;
       command.op = Command::Op::forget;
     } else if (placement != nullptr) {
@@ -556,7 +559,7 @@
   }
   // What has finished, is durable and is not shown any more has been forgotten there.
   std::erase_if(machine.placements, [&](const Placement& each) {
-    return each.finished && each.shown != report.sequence && journal_.durable(each.mark);
+    return each.finished && each.shown != report.sequence && journal_.durable(each.log_position);
   });
   return out;
 }
@@ -570,7 +573,7 @@
   Job* job = model_.job(placement.job);
   if (job == nullptr) return;
   journal_.append(bookkeeping::ended_entry(placement.job, placement.index));
-  job->give_back(placement.index);
+  job->requeue(placement.index);
   note_closable(placement.job, *job);
 }
 
@@ -603,11 +606,11 @@
   }
   if (plan_due_ && now >= plan_at_s_) {
     plan();
-    look_at_held();
+    answer_pending();
   }
   journal_.pump();
   if (now >= close_at_s_ && !closing_) close_jobs();
-  if (!held_.empty()) look_at_held();
+  if (!pending_responses_.empty()) answer_pending();
 }
 
 void Dispatcher::watch_leases() {
@@ -652,7 +655,7 @@
   if (next == nullptr) return;
   const double pause = constants::moving_reports * settings_.report_s /
                        (static_cast<double>(replicas) * constants::moving_cost);
-  if (pause > constants::moving_max_pause_s) return;
+  if (pause > constants::max_moving_pause_s) return;
   next->stopping = true;
   move_at_s_ = now + pause;
 }
@@ -673,7 +676,7 @@
   for (const auto& each : made.placements) {
     Machine& machine = model_.machines.at(each.machine);
     Placement& placed = model_.place(machine, model_.jobs.at(each.job), attempt, began);
-    placed.mark =
+    placed.log_position =
         journal_.append(bookkeeping::placed_entry(placed.job, attempt, machine.id, placed.index));
     spdlog::debug("task placed job={} index={} machine={}", placed.job, placed.index, machine.id);
   }
@@ -712,7 +715,7 @@
     const Job* job = model_.job(id);
     if (job == nullptr) continue;
     transaction.conditions.push_back({bookkeeping::over_key(id), 0});
-    transaction.conditions.push_back({bookkeeping::job_key(id), job->stamp});
+    transaction.conditions.push_back({bookkeeping::job_key(id), job->version});
     transaction.changes.push_back(
         {bookkeeping::over_key(id), bookkeeping::encode_over(final_state(*job)).dump(), 0});
     transaction.changes.push_back({bookkeeping::job_key(id), std::nullopt, 0});
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -11,9 +11,9 @@
 #include "bookkeeping/model.hpp"
 #include "coordination/cloud_desk.hpp"
 #include "coordination/directory.hpp"
+#include "coordination/job_api.hpp"
 #include "coordination/journal_desk.hpp"
 #include "coordination/leadership.hpp"
-#include "coordination/user_desk.hpp"
 #include "protocol/properties.hpp"
 #include "protocol/worker_messages.hpp"
 
@@ -36,7 +36,7 @@
 
  private:
   // An answer that waits for the journal.
-  struct HeldAnswer {
+  struct PendingResponse {
     transport::Respond respond;
     std::vector<protocol::Command> commands;
     std::uint64_t session = 0, sequence = 0;  // of the report
@@ -76,9 +76,9 @@
   std::vector<protocol::Command> commands_for(bookkeeping::Machine& machine,
                                               const protocol::Report& report);
   bool start_under_way(const bookkeeping::Machine& machine) const;
-  void answer_held(const std::string& machine);
-  void look_at_held();
-  void send_answer(bookkeeping::Machine& machine, HeldAnswer answer);
+  void answer_pending_of(const std::string& machine);
+  void answer_pending();
+  void send_answer(bookkeeping::Machine& machine, PendingResponse answer);
   void end(bookkeeping::Machine& machine, bookkeeping::Placement& placement);
   void end_all(bookkeeping::Machine& machine, const std::string& why);
   static void drop_ended(bookkeeping::Machine& machine);
@@ -115,8 +115,8 @@
   double leases_s_ = 0;
   double move_at_s_ = 0;
   std::int64_t least_waiting_cpus_ = std::numeric_limits<std::int64_t>::max();
-  std::set<std::string> closable_;          // jobs whose final record is due
-  std::map<std::string, HeldAnswer> held_;  // by machine
+  std::set<std::string> closable_;                            // jobs whose final record is due
+  std::map<std::string, PendingResponse> pending_responses_;  // by machine
 };
 
 }  // namespace poppystile::coordination
--- a/src/coordination/user_desk.cpp
+++ b/src/coordination/job_api.cpp
@@ -1,4 +1,4 @@
-#include "coordination/user_desk.hpp"
+#include "coordination/job_api.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -29,29 +29,29 @@
 
 }  // namespace
 
-UserDesk::UserDesk(transport::Runtime& runtime, StateStore& store, Directory& directory,
-                   const protocol::Settings& settings,
-                   std::function<TaskCounts(const std::string&)> counts)
+JobApi::JobApi(transport::Runtime& runtime, StateStore& store, Directory& directory,
+               const protocol::Settings& settings,
+               std::function<TaskCounts(const std::string&)> counts)
     : runtime_(runtime),
       store_(store),
       directory_(directory),
       settings_(settings),
       counts_(std::move(counts)) {}
 
-bool UserDesk::must_turn_away() const { return !directory_.loaded() || store_.crowded(); }
+bool JobApi::must_turn_away() const { return !directory_.loaded() || store_.crowded(); }
 
-bool UserDesk::patient(double since_s) const {
+bool JobApi::patient(double since_s) const {
   return runtime_.now_s() - since_s < constants::accept_patience_s;
 }
 
-JobState UserDesk::state_of(const std::string& id) const {
+JobState JobApi::state_of(const std::string& id) const {
   if (const auto final_state = directory_.final_state(id)) return *final_state;
   const KnownJob* known = directory_.job(id);
   if (known != nullptr && known->record.cancelled) return JobState::cancelled;
   return counts_(id).running > 0 ? JobState::running : JobState::queued;
 }
 
-void UserDesk::answer_state(const std::string& id, bool as_poll, const Respond& respond) const {
+void JobApi::answer_state(const std::string& id, bool as_poll, const Respond& respond) const {
   const JobState state = state_of(id);
   if (!as_poll) return respond({200, protocol::encode_submitted(id, state)});
   TaskCounts counts = counts_(id);
@@ -60,16 +60,16 @@
 
 // --- certainty ---
 
-bool UserDesk::fresh() const {
+bool JobApi::fresh() const {
   return runtime_.now_s() - store_.answered_sent_s() <= constants::verified_fresh_s;
 }
 
-void UserDesk::verify(const std::string& id, Verified answer) {
+void JobApi::verify(const std::string& id, Verified answer) {
   gathered_.push_back({id, std::move(answer)});
   if (gathered_.size() == 1) runtime_.after(constants::poll_gather_s, [this] { ask_gathered(); });
 }
 
-void UserDesk::ask_gathered() {
+void JobApi::ask_gathered() {
   std::vector<Question> batch;
   // Two conditions at most for each question.
   const std::size_t most = static_cast<std::size_t>(settings_.txn_ops) * 2;
@@ -80,7 +80,7 @@
   if (!batch.empty()) ask(std::move(batch));
 }
 
-void UserDesk::ask(std::vector<Question> questions) {
+void JobApi::ask(std::vector<Question> questions) {
   protocol::Transaction comparison;
   std::vector<Question> open;
   for (auto& each : questions) {
@@ -121,7 +121,7 @@
 }
 
 // The job first: a job that ends between the two reads is then found among those that are over.
-void UserDesk::read_again(const std::string& id, Verified answer) {
+void JobApi::read_again(const std::string& id, Verified answer) {
   store_.get(job_key(id), Urgency::user,
              [this, id, answer = std::move(answer)](Outcome outcome,
                                                     std::optional<protocol::Entry> job) mutable {
@@ -145,7 +145,7 @@
 
 // --- show ---
 
-void UserDesk::show(const std::string& id, Respond respond) {
+void JobApi::show(const std::string& id, Respond respond) {
   if (!protocol::valid_job_id(id)) return respond(not_found());
   const KnownJob* known = directory_.job(id);
   if (directory_.final_state(id) || (known != nullptr && known->record.cancelled))
@@ -160,7 +160,7 @@
 
 // --- submit ---
 
-void UserDesk::submit(const std::string& body, Respond respond) {
+void JobApi::submit(const std::string& body, Respond respond) {
   JobSpec job;
   try {
     job = protocol::parse_submission(protocol::parse_object(body));
@@ -178,7 +178,7 @@
   accept(std::move(job), runtime_.now_s(), std::move(respond));
 }
 
-void UserDesk::answer_current(const std::string& id, Respond respond) {
+void JobApi::answer_current(const std::string& id, Respond respond) {
   if (directory_.final_state(id)) return answer_state(id, false, respond);
   verify(id, [this, id, respond = std::move(respond)](Certainty certainty) {
     if (certainty == Certainty::live || certainty == Certainty::over)
@@ -189,7 +189,7 @@
 
 // Why the job can never run; empty when it can. Leaves only known types in its list, which also
 // bounds the size of its record.
-std::string UserDesk::refusal(JobSpec& job) const {
+std::string JobApi::refusal(JobSpec& job) const {
   const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
                                  [&](const auto& each) { return each.name == job.team; });
   if (team == settings_.teams.end()) return "unknown team";
@@ -216,7 +216,7 @@
   return "";
 }
 
-void UserDesk::accept(JobSpec job, double since_s, Respond respond) {
+void JobApi::accept(JobSpec job, double since_s, Respond respond) {
   const std::string id = job.id;
   const bookkeeping::JobRecord record{std::move(job), runtime_.wall_s(), false};
   const protocol::Json value = bookkeeping::encode(record);
@@ -253,13 +253,13 @@
 
 // --- cancel ---
 
-void UserDesk::cancel(const std::string& id, const Respond& respond) {
+void JobApi::cancel(const std::string& id, const Respond& respond) {
   if (!protocol::valid_job_id(id)) return respond(not_found());
   if (must_turn_away()) return respond(later());
   mark_cancelled(id, runtime_.now_s(), respond);
 }
 
-void UserDesk::mark_cancelled(const std::string& id, double since_s, const Respond& respond) {
+void JobApi::mark_cancelled(const std::string& id, double since_s, const Respond& respond) {
   const KnownJob* known = directory_.job(id);
   if (directory_.final_state(id) || (known != nullptr && known->record.cancelled))
     return answer_state(id, false, respond);
--- a/src/coordination/user_desk.hpp
+++ b/src/coordination/job_api.hpp
@@ -18,11 +18,10 @@
   std::uint64_t running = 0;
 };
 
-class UserDesk {
+class JobApi {
  public:
-  UserDesk(transport::Runtime& runtime, StateStore& store, Directory& directory,
-           const protocol::Settings& settings,
-           std::function<TaskCounts(const std::string&)> counts);
+  JobApi(transport::Runtime& runtime, StateStore& store, Directory& directory,
+         const protocol::Settings& settings, std::function<TaskCounts(const std::string&)> counts);
 
   void submit(const std::string& body, transport::Respond respond);
   void show(const std::string& id, transport::Respond respond);
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -154,12 +154,12 @@
     segment.number = next_number_++;
     segment.key = bookkeeping::segment_key(segment.number % constants::journal_ring);
     segment.value = bookkeeping::encode_part(segment.number, leadership_.token(), texts);
-    segment.mark = landed_;
+    segment.log_position = landed_;
     bytes_since_ += segment.value.size();
     segments_.push_back(std::move(segment));
   }
   // Only the last segment of a cut holds all of the cut's marks.
-  if (!segments_.empty()) segments_.back().mark = appended_;
+  if (!segments_.empty()) segments_.back().log_position = appended_;
 }
 
 // A snapshot describes everything appended so far. Reading goes on after it with the first segment
@@ -195,7 +195,7 @@
   };
   const auto fits = [&](const Record& next) {
     return batch_.empty() ||
-           (batch_.size() < most && bytes + next.value.size() <= constants::most_transaction_bytes);
+           (batch_.size() < most && bytes + next.value.size() <= constants::max_transaction_bytes);
   };
   // The ring's oldest segments are needed until the next snapshot counts.
   while (!segments_.empty() && fits(segments_.front()) &&
@@ -265,7 +265,7 @@
 void JournalDesk::landed(std::uint64_t revision) {
   for (const auto& each : batch_) {
     versions_[each.key] = revision;
-    landed_ = std::max(landed_, each.mark);
+    landed_ = std::max(landed_, each.log_position);
     if (each.key == keys::journal_head) {
       head_ = *next_head_;
       next_head_.reset();
--- a/src/coordination/journal_desk.hpp
+++ b/src/coordination/journal_desk.hpp
@@ -3,7 +3,8 @@
 // Segments go to a ring of keys, one transaction at a time, each conditional on the leader's own
 // key and on the versions of the keys it overwrites. A transaction whose outcome is unknown is sent
 // again word for word, until it has landed or is found to have landed: so the order of entries is
-// the order in which they were appended, and what is durable is told by one number, the mark.
+// the order in which they were appended, and what is durable is told by one number, the log
+// position.
 #pragma once
 
 #include <cstdint>
@@ -32,9 +33,9 @@
   void wipe(const std::function<void()>& done);
   void end();  // this node no longer leads
 
-  // Returns the mark up to which the journal must land for the entry to be durable.
+  // Returns the log_position up to which the journal must land for the entry to be durable.
   std::uint64_t append(bookkeeping::Json entry);
-  bool durable(std::uint64_t mark) const { return mark <= landed_; }
+  bool durable(std::uint64_t log_position) const { return log_position <= landed_; }
   void pump();  // called often while leading
   // Segments a successor would have to read after the snapshot.
   std::uint64_t segments_since_snapshot() const { return next_number_ - head_.from; }
@@ -48,8 +49,8 @@
   struct Record {
     std::string key;
     std::string value;
-    std::uint64_t number = 0;  // of a segment, or the generation
-    std::uint64_t mark = 0;    // of a segment: everything up to here is in it
+    std::uint64_t number = 0;        // of a segment, or the generation
+    std::uint64_t log_position = 0;  // of a segment: everything up to here is in it
   };
 
   void list(std::function<void(std::optional<bookkeeping::Ledger>)> done);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -25,7 +25,7 @@
     : runtime_(runtime),
       peers_(peers),
       settings_(settings),
-      life_(seed),
+      incarnation_(seed),
       born_wall_s_(runtime.wall_s()),
       store_(runtime, http, settings),
       directory_(runtime, store_),
@@ -37,31 +37,31 @@
              [this](const std::string& job) { return counts(job); }) {}
 
 void Node::start() {
-  peers_.on_frame([this](const std::string& frame) { heard(frame); });
+  peers_.on_frame([this](const std::string& frame) { on_heartbeat(frame); });
   directory_.start();
   leadership_.start();
   dispatcher_.start();
-  beat();
+  send_heartbeat();
 }
 
 TaskCounts Node::counts(const std::string& job) const {
   if (leadership_.leading()) return dispatcher_.counts(job);
-  const auto told = told_counts_.find(job);
-  return told == told_counts_.end() ? TaskCounts{} : told->second;
+  const auto told = advertised_counts_.find(job);
+  return told == advertised_counts_.end() ? TaskCounts{} : told->second;
 }
 
 // --- siblings ---
 
-void Node::beat() {
-  runtime_.after(constants::peer_beat_s, [this] { beat(); });
+void Node::send_heartbeat() {
+  runtime_.after(constants::heartbeat_s, [this] { send_heartbeat(); });
   // Keeps the knowledge of the state service fresh on a node that nobody asks anything.
-  if (runtime_.now_s() - store_.last_contact_s() > constants::peer_beat_s)
+  if (runtime_.now_s() - store_.last_contact_s() > constants::heartbeat_s)
     store_.get(bookkeeping::keys::token, Urgency::rest, [](Outcome, auto) {});
-  const std::uint64_t sent_away = reach_now_.sent_away;
-  judge_reach();
+  const std::uint64_t redirected_reports = reachability_now_.redirected_reports;
+  check_worker_reachability();
   protocol::PeerStatus status;
   status.name = settings_.name;
-  status.life = life_;
+  status.incarnation = incarnation_;
   status.born_wall_s = born_wall_s_;
   status.token = std::max(directory_.token(), leadership_.token());
   status.leading = leadership_.leading();
@@ -69,15 +69,15 @@
   status.state_wall_s = store_.last_contact_wall_s();
   status.proven_wall_s = directory_.proven_wall_s();
   for (const auto& id : directory_.cancelled()) {
-    if (status.cancelled.size() == constants::most_told_cancellations) {
+    if (status.cancelled.size() == constants::max_told_cancellations) {
       status.all_cancelled = false;
       break;
     }
     status.cancelled.push_back(id);
   }
-  status.sent_away = sent_away;
+  status.redirected_reports = redirected_reports;
   if (status.leading)
-    for (const auto& id : dispatcher_.job_ids(constants::most_told_jobs)) {
+    for (const auto& id : dispatcher_.job_ids(constants::max_told_jobs)) {
       const TaskCounts counts = dispatcher_.counts(id);
       if (counts.done + counts.running > 0)
         status.counts.push_back({id, counts.done, counts.running});
@@ -85,7 +85,7 @@
   peers_.broadcast(protocol::encode_peer_status(status));
 }
 
-void Node::heard(const std::string& frame) {
+void Node::on_heartbeat(const std::string& frame) {
   auto status = protocol::decode_peer_status(frame);
   if (!status) return spdlog::info("peer frame malformed bytes={}", frame.size());
   const bool known = std::any_of(settings_.siblings.begin(), settings_.siblings.end(),
@@ -101,10 +101,10 @@
   const auto& last = sibling.last;
   // A frame that waited while we stood still, or in a cut, says nothing about now.
   if (runtime_.wall_s() - last.sent_wall_s < constants::peer_fresh_s)
-    reach_now_.sent_away_elsewhere += last.sent_away;
+    reachability_now_.redirected_elsewhere += last.redirected_reports;
   if (last.leading) {
-    told_counts_.clear();
-    for (const auto& each : last.counts) told_counts_[each.job] = {each.done, each.running};
+    advertised_counts_.clear();
+    for (const auto& each : last.counts) advertised_counts_[each.job] = {each.done, each.running};
   }
   if (!leadership_.leading()) return;
   if (last.token > leadership_.token())
@@ -127,59 +127,60 @@
   // A process that has begun again knows nothing of what its former life told users. It answers for
   // that once it has read the directory, which names whatever was committed by then, or once others
   // have shown us the directory as it was after that life had ended.
-  if (status.life != sibling.life && status.proven_wall_s == 0 &&
+  if (status.incarnation != sibling.incarnation && status.proven_wall_s == 0 &&
       std::max(directory_.proven_s(), siblings_proven_s_) <=
           steady_s(status.born_wall_s) + 4 * settings_.clock_bound_s)
     return;
-  sibling.life = status.life;
+  sibling.incarnation = status.incarnation;
   sibling.vouched_s = std::max(sibling.vouched_s, steady_s(status.sent_wall_s));
 }
 
 // A leader that holds its grant while workers do not reach it serves nobody, and their leases run
 // out: it leaves the key to a sibling that they do reach. Siblings that hear us contradict by
 // redirecting nothing; when none can be heard, silence of all machines has to do.
-void Node::judge_reach() {
+void Node::check_worker_reachability() {
   const double now = runtime_.now_s();
-  reach_now_.at_s = now;
-  reach_.push_back(std::exchange(reach_now_, {}));
+  reachability_now_.at_s = now;
+  reachability_.push_back(std::exchange(reachability_now_, {}));
   // After a pause of our own, such as a stop of the process, counting begins again.
   const bool paused =
-      reach_.size() > 1 && now - reach_[reach_.size() - 2].at_s > 2 * constants::peer_beat_s;
-  const bool heard_any = !reach_.empty() && reach_.back().heard > 0;
-  if (paused || !leadership_.leading()) reach_.clear();
-  silent_beats_ = heard_any || reach_.empty() ? 0 : silent_beats_ + 1;
+      reachability_.size() > 1 &&
+      now - reachability_[reachability_.size() - 2].at_s > 2 * constants::heartbeat_s;
+  const bool heard_any = !reachability_.empty() && reachability_.back().heard > 0;
+  if (paused || !leadership_.leading()) reachability_.clear();
+  silent_heartbeats_ = heard_any || reachability_.empty() ? 0 : silent_heartbeats_ + 1;
   // Workers that cannot reach us wait for 4 s, are sent back to us by a sibling, and wait again: by
   // then a short lease has ended. So we do not wait for siblings to tell of them when everybody
   // falls silent at once. In an outage of the state service nobody could take over.
-  const double quiet_s = silent_beats_ * constants::peer_beat_s;
+  const double quiet_s = silent_heartbeats_ * constants::heartbeat_s;
   if (quiet_s > constants::report_jitter * settings_.report_s + constants::lease_margin_s &&
       dispatcher_.live_machines() >= constants::reach_min_machines && leadership_.grant_holds()) {
-    silent_beats_ = 0;
-    reach_.clear();
+    silent_heartbeats_ = 0;
+    reachability_.clear();
     return leadership_.resign("all workers fell silent at once", constants::stand_aside_s);
   }
   bool full = false;
-  while (!reach_.empty() && now - reach_.front().at_s > constants::reach_window_s) {
-    reach_.pop_front();
+  while (!reachability_.empty() && now - reachability_.front().at_s > constants::reach_window_s) {
+    reachability_.pop_front();
     full = true;
   }
   // Only a full window counts.
-  if (!full || reach_.empty() || settings_.siblings.empty() || !dispatcher_.ready()) return;
-  Reach sum;
-  for (const auto& each : reach_) {
+  if (!full || reachability_.empty() || settings_.siblings.empty() || !dispatcher_.ready()) return;
+  WorkerReachability sum;
+  for (const auto& each : reachability_) {
     sum.heard += each.heard;
-    sum.sent_away_elsewhere += each.sent_away_elsewhere;
+    sum.redirected_elsewhere += each.redirected_elsewhere;
   }
   const bool siblings_heard =
       std::any_of(siblings_.begin(), siblings_.end(), [&](const auto& each) {
         return runtime_.wall_s() - each.second.last.sent_wall_s < constants::peer_fresh_s;
       });
-  const bool away = sum.sent_away_elsewhere >= constants::reach_min_machines &&
-                    sum.sent_away_elsewhere > sum.heard * constants::resign_ratio;
+  const bool away = sum.redirected_elsewhere >= constants::reach_min_machines &&
+                    sum.redirected_elsewhere > sum.heard * constants::resign_ratio;
   const bool silence = !siblings_heard && sum.heard == 0 &&
                        dispatcher_.live_machines() >= constants::reach_min_machines;
   if (!away && !silence) return;
-  reach_.clear();
+  reachability_.clear();
   leadership_.resign(away ? "workers reach our siblings and not us" : "no worker reaches us",
                      constants::stand_aside_s);
 }
@@ -236,7 +237,7 @@
     return respond({400, protocol::encode_error(problem.what())});
   }
   if (leadership_.leading()) {
-    ++reach_now_.heard;
+    ++reachability_now_.heard;
     if (runtime_.now_s() > answer_until_s()) return respond(cut_off());
     // Answers wait for the journal, and the process may stand still: what counts is whether we may
     // keep the lease alive when the answer is sent.
@@ -245,7 +246,7 @@
       respond(late ? cut_off() : response);
     });
   }
-  ++reach_now_.sent_away;
+  ++reachability_now_.redirected_reports;
   leadership_.run_again();
   const auto& leader = directory_.leader();
   const bool elsewhere = leader && leader->record.name != settings_.name;
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -8,10 +8,10 @@
 #include "coordination/cloud_desk.hpp"
 #include "coordination/directory.hpp"
 #include "coordination/dispatcher.hpp"
+#include "coordination/job_api.hpp"
 #include "coordination/journal_desk.hpp"
 #include "coordination/leadership.hpp"
 #include "coordination/state_store.hpp"
-#include "coordination/user_desk.hpp"
 #include "protocol/peer_messages.hpp"
 #include "protocol/properties.hpp"
 #include "protocol/settings.hpp"
@@ -35,10 +35,10 @@
   std::uint64_t token() const { return leadership_.token(); }
 
  private:
-  void beat();
-  void heard(const std::string& frame);
+  void send_heartbeat();
+  void on_heartbeat(const std::string& frame);
   void report(const std::string& body, const transport::Respond& respond);
-  void judge_reach();
+  void check_worker_reachability();
   bool takes_requests() const;
   // Steady time up to which this node surely knows every cancellation that any user was told of.
   double cancellations_known_s() const;
@@ -49,8 +49,8 @@
   TaskCounts counts(const std::string& job) const;
 
   struct Sibling {
-    protocol::PeerStatus last;  // its newest frame
-    std::uint64_t life = 0;     // whose word counts
+    protocol::PeerStatus last;      // its newest frame
+    std::uint64_t incarnation = 0;  // whose word counts
     // Steady; whatever cancellation it told a user before, in any life, its frames have told us.
     double vouched_s = 0;
   };
@@ -60,7 +60,7 @@
   transport::PeerNet& peers_;
   const protocol::Settings& settings_;
   // Tell this life of the process from earlier ones, of which nothing is remembered here.
-  std::uint64_t life_;
+  std::uint64_t incarnation_;
   double born_wall_s_;
   StateStore store_;
   Directory directory_;
@@ -68,19 +68,19 @@
   JournalDesk journal_;
   CloudDesk cloud_;
   Dispatcher dispatcher_;
-  UserDesk users_;
+  JobApi users_;
   std::map<std::string, Sibling> siblings_;
   // Steady; what was committed before is known to us by a sibling's directory.
   double siblings_proven_s_ = 0;
-  std::map<std::string, TaskCounts> told_counts_;  // by the leader
+  std::map<std::string, TaskCounts> advertised_counts_;  // by the leader
   // Reports since the last beat: that came to us as leader, that we redirected, that siblings did.
-  struct Reach {
+  struct WorkerReachability {
     double at_s = 0;
-    std::uint64_t heard = 0, sent_away = 0, sent_away_elsewhere = 0;
+    std::uint64_t heard = 0, redirected_reports = 0, redirected_elsewhere = 0;
   };
-  Reach reach_now_;
-  std::deque<Reach> reach_;  // of the last beats
-  int silent_beats_ = 0;     // in a row, as leader, without a report
+  WorkerReachability reachability_now_;
+  std::deque<WorkerReachability> reachability_;  // of the last beats
+  int silent_heartbeats_ = 0;                    // in a row, as leader, without a report
 };
 
 }  // namespace poppystile::coordination
--- a/src/coordination/state_store.cpp
+++ b/src/coordination/state_store.cpp
@@ -77,7 +77,7 @@
 }
 
 bool StateStore::crowded() const {
-  return waiting_[static_cast<std::size_t>(Urgency::user)].size() > constants::most_waiting_users;
+  return waiting_[static_cast<std::size_t>(Urgency::user)].size() > constants::max_waiting_users;
 }
 
 void StateStore::enqueue(Urgency urgency, Call call) {
--- a/src/planning/array_batches.cpp
+++ b/src/planning/array_batches.cpp
@@ -23,7 +23,7 @@
 
 void ArrayBatches::place(const std::vector<const Job*>& jobs) {
   std::map<const Job*, std::uint32_t> entered;
-  for (int round = 0; round < constants::most_batches; ++round)
+  for (int round = 0; round < constants::max_batches; ++round)
     if (!place_batch(jobs, entered)) return;
 }
 
--- a/src/planning/eligibility.cpp
+++ b/src/planning/eligibility.cpp
@@ -23,7 +23,7 @@
 }
 
 double believed_run_s(const JobSpec& job) {
-  return std::max(job.estimate_s, constants::least_estimate_s);
+  return std::max(job.estimate_s, constants::min_estimate_s);
 }
 
 std::optional<double> due_s(const JobSpec& job, const std::vector<protocol::FinishAim>& aims) {
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -69,8 +69,8 @@
     plan.demand_cpus = demand_;
     plan.undrain = draining_for(jobs);
     if (!plan.undrain.empty()) return plan;
-    for (const auto& [offer, count] : hires_)
-      plan.hire.push_back({offer, std::min(count, constants::max_hire)});
+    for (const auto& [offer, count] : rentals_)
+      plan.hire.push_back({offer, std::min(count, constants::max_rented_machines)});
     std::stable_sort(plan.hire.begin(), plan.hire.end(),
                      [](const auto& a, const auto& b) { return a.count > b.count; });
     for (const auto& [id, machine] : model_.machines)
@@ -90,7 +90,7 @@
 
   bool is_overdue(const Machine& machine) const {
     return machine.session == 0 && machine.boot_s > 0 &&
-           context_.now_wall_s - machine.hired_wall_s >
+           context_.now_wall_s - machine.rented_wall_s >
                constants::boot_latest_share * machine.boot_s;
   }
 
@@ -159,7 +159,7 @@
       const auto placed = fill(bins_.back(), spec, count);
       if (placed == 0) return;
       count -= placed;
-      ++hires_[*offer];
+      ++rentals_[*offer];
     }
   }
 
@@ -182,7 +182,7 @@
         return unplaced_.contains(job->spec().id) && may_run_on(job->spec(), machine) &&
                job->spec().each.fits(machine.room());
       };
-      if (!hires_.empty() || std::any_of(jobs.begin(), jobs.end(), takes)) out.push_back(id);
+      if (!rentals_.empty() || std::any_of(jobs.begin(), jobs.end(), takes)) out.push_back(id);
     }
     return out;
   }
@@ -346,7 +346,7 @@
   std::vector<Bin> bins_;
   std::map<Offer, int> present_;  // there or booting
   std::map<Offer, int> overdue_;  // booting for longer than usual
-  std::map<Offer, int> hires_;
+  std::map<Offer, int> rentals_;
   std::map<std::string, std::int64_t> team_left_;
   std::set<std::string> unplaced_;  // jobs for which there is no room and no offer
   std::int64_t demand_ = 0;
--- a/src/planning/plan_draft.cpp
+++ b/src/planning/plan_draft.cpp
@@ -40,7 +40,7 @@
 }
 
 void PlanDraft::add_booting(const Machine& machine) {
-  const double age = context_.now_wall_s - machine.hired_wall_s;
+  const double age = context_.now_wall_s - machine.rented_wall_s;
   const double latest = constants::boot_latest_share * machine.boot_s;
   if (age >= latest) return;  // overdue: nobody knows when it will be up
   MachineSlot slot;
@@ -92,7 +92,7 @@
 std::map<std::string, std::uint32_t>& PlanDraft::tasks_by_zone(const JobSpec& job) {
   const auto [found, inserted] = tasks_by_zone_.try_emplace(job.id);
   if (inserted)
-    for (const auto& [index, machine] : model_.jobs.at(job.id).places)
+    for (const auto& [index, machine] : model_.jobs.at(job.id).placements)
       ++found->second[machine->zone];
   return found->second;
 }
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -16,7 +16,7 @@
 bool Preemption::make_room(const Job& waiting) {
   const JobSpec& job = waiting.spec();
   if (reserve_stopping(job)) return true;
-  if (++searches_ > constants::most_looks_for_room) return false;
+  if (++searches_ > constants::max_looks_for_room) return false;
   MachineSlot* best = nullptr;
   std::vector<const Placement*> fewest;
   for (auto& slot : draft_.slots()) {
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -97,14 +97,14 @@
   Item root(cbor_new_definite_array(status_fields));
   push(root.get(), cbor_build_uint64(version));
   push(root.get(), text(status.name));
-  push(root.get(), cbor_build_uint64(status.life));
+  push(root.get(), cbor_build_uint64(status.incarnation));
   push(root.get(), cbor_build_float8(status.born_wall_s));
   push(root.get(), cbor_build_uint64(status.token));
   push(root.get(), cbor_build_uint64(status.leading ? 1 : 0));
   push(root.get(), cbor_build_float8(status.sent_wall_s));
   push(root.get(), cbor_build_float8(status.state_wall_s));
   push(root.get(), cbor_build_float8(status.proven_wall_s));
-  push(root.get(), cbor_build_uint64(status.sent_away));
+  push(root.get(), cbor_build_uint64(status.redirected_reports));
   cbor_item_t* counts = cbor_new_definite_array(status.counts.size() * 3);
   for (const auto& each : status.counts) {
     push(counts, text(each.job));
@@ -132,14 +132,14 @@
     return std::nullopt;
   PeerStatus out;
   out.name = reader.words();
-  out.life = reader.number();
+  out.incarnation = reader.number();
   out.born_wall_s = reader.real();
   out.token = reader.number();
   out.leading = reader.number() == 1;
   out.sent_wall_s = reader.real();
   out.state_wall_s = reader.real();
   out.proven_wall_s = reader.real();
-  out.sent_away = reader.number();
+  out.redirected_reports = reader.number();
   Item list = reader.next();
   Reader counts(list.get());
   if (!reader.good() || !counts.good() || counts.size() % 3 != 0) return std::nullopt;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -78,7 +78,7 @@
     throw DecodeError("lease_s: expected less than cancel_s, got " + std::to_string(out.lease_s));
   if (out.report_s >= out.lease_s)
     throw DecodeError("report_s: expected less than lease_s, got " + std::to_string(out.report_s));
-  const auto least = constants::least_own_sockets + 2 * out.siblings.size() + 1;
+  const auto least = constants::min_own_sockets + 2 * out.siblings.size() + 1;
   if (out.sockets < static_cast<double>(least))
     throw DecodeError("sockets: expected at least " + std::to_string(least) +
                       " for the calls to other services, the siblings and one worker");
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -118,7 +118,7 @@
     self->tcp_.data = self;
     const auto rc = uv_accept(reinterpret_cast<uv_stream_t*>(&link.listener_),
                               reinterpret_cast<uv_stream_t*>(&self->tcp_));
-    if (rc != 0 || link.incoming_ > constants::most_peer_connections) return self->close();
+    if (rc != 0 || link.incoming_ > constants::max_peer_connections) return self->close();
     uv_read_start(
         reinterpret_cast<uv_stream_t*>(&self->tcp_),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -156,13 +156,13 @@
 protocol::PeerStatus peer_status() {
   protocol::PeerStatus status;
   status.name = "stile-1";
-  status.life = 77;
+  status.incarnation = 77;
   status.born_wall_s = 1.4e9;
   status.token = 9;
   status.leading = true;
   status.sent_wall_s = 1.7e9;
   status.state_wall_s = 1.6e9;
-  status.sent_away = 12;
+  status.redirected_reports = 12;
   status.counts = {{"req-1", 5, 6}};
   status.cancelled = {"req-7"};
   return status;
@@ -177,8 +177,8 @@
   ASSERT_TRUE(again.has_value());
   EXPECT_EQ(again->counts.at(0).running, 6u);
   EXPECT_EQ(again->sent_wall_s, 1.7e9);
-  EXPECT_EQ(again->sent_away, 12u);
-  EXPECT_EQ(again->life, 77u);
+  EXPECT_EQ(again->redirected_reports, 12u);
+  EXPECT_EQ(again->incarnation, 77u);
   EXPECT_EQ(again->born_wall_s, 1.4e9);
   EXPECT_EQ(again->state_wall_s, 1.6e9);
   EXPECT_EQ(again->proven_wall_s, 1.5e9);
--- a/tests/unit/user_desk_test.cpp
+++ b/tests/unit/job_api_test.cpp
@@ -1,5 +1,5 @@
 // What users are answered: each reason for a refusal, at once and with nothing stored; repeats.
-#include "coordination/user_desk.hpp"
+#include "coordination/job_api.hpp"
 
 #include <gtest/gtest.h>
 
@@ -13,7 +13,7 @@
 using protocol::Json;
 using transport::HttpResponse;
 
-class UserDeskTest : public testing::Test {
+class JobApiTest : public testing::Test {
  protected:
   void SetUp() override {
     settings.state_rps = 250;
@@ -55,11 +55,11 @@
   protocol::Settings settings;
   StateStore store{caller, caller, settings};
   Directory directory{caller, store};
-  UserDesk desk{caller, store, directory, settings, [](const auto&) { return TaskCounts{}; }};
+  JobApi desk{caller, store, directory, settings, [](const auto&) { return TaskCounts{}; }};
   double took_s = -1;
 };
 
-TEST_F(UserDeskTest, EachReasonForARefusalIsToldAtOnceAndNothingIsStored) {
+TEST_F(JobApiTest, EachReasonForARefusalIsToldAtOnceAndNothingIsStored) {
   struct Case {
     const char* what;
     std::vector<std::pair<const char*, Json>> fields;
@@ -96,7 +96,7 @@
   }
 }
 
-TEST_F(UserDeskTest, WhatCanRunIsAcceptedOnceAndKnownWhenRepeated) {
+TEST_F(JobApiTest, WhatCanRunIsAcceptedOnceAndKnownWhenRepeated) {
   const std::vector<std::vector<std::pair<const char*, Json>>> good = {
       {},
       {{"id", "req-000002"}, {"cores", 32}, {"ram_gb", 64}, {"gpus", 2}},
@@ -114,7 +114,7 @@
 }
 
 // A comparison that was answered late says nothing about now: another node may have told more.
-TEST_F(UserDeskTest, WhatWasSeenLongAgoIsNotTold) {
+TEST_F(JobApiTest, WhatWasSeenLongAgoIsNotTold) {
   ASSERT_EQ(submit(job()).status, 201);
   const auto ask = [&](double slow_s) {
     HttpResponse got;
--- a/tests/unit/journal_test.cpp
+++ b/tests/unit/journal_test.cpp
@@ -53,7 +53,7 @@
   EXPECT_EQ(ledger.machines.at("n-1").tasks.size(), 2u);
   EXPECT_TRUE(ledger.machines.at("n-2").tasks.empty());
   EXPECT_EQ(ledger.machines.at("n-1").images.at(0).name, "img");
-  EXPECT_EQ(ledger.hires.size(), 1u);
+  EXPECT_EQ(ledger.rentals.size(), 1u);
 }
 
 TEST(Journal, MergedEntriesSayTheSame) {
--- a/tests/unit/node_test.cpp
+++ b/tests/unit/node_test.cpp
@@ -57,7 +57,7 @@
   PeerStatus frame(const std::string& name) const {
     PeerStatus status;
     status.name = name;
-    status.life = 7;
+    status.incarnation = 7;
     status.born_wall_s = caller.wall_s() - queue.now();
     status.token = node.token();
     status.sent_wall_s = caller.wall_s();
@@ -136,7 +136,7 @@
   const double born = caller.wall_s();
   EXPECT_FALSE(answers_after(budget_s + 1, [&](auto& status) {
     if (status.name != "stile-2") return;
-    status.life = 8;
+    status.incarnation = 8;
     status.born_wall_s = born;
     status.proven_wall_s = 0;
   }));
@@ -147,7 +147,7 @@
   const double born = caller.wall_s();
   EXPECT_TRUE(answers_after(2 * cancel_s, [&](auto& status) {
     if (status.name != "stile-2") return;
-    status.life = 8;
+    status.incarnation = 8;
     status.born_wall_s = born;
     status.proven_wall_s = born + 0.5;
   }));
@@ -157,7 +157,7 @@
   const double born = caller.wall_s();
   EXPECT_TRUE(answers_after(2 * cancel_s, [&](auto& status) {
     if (status.name == "stile-2") {
-      status.life = 8;
+      status.incarnation = 8;
       status.born_wall_s = born - 5;
       status.proven_wall_s = 0;
     } else {
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -89,7 +89,7 @@
   Machine& a1 = add(model, "a1", 32);
   model.restore(a1, job, 2, 1, 0);  // as after a takeover
   model.vacate(a1, a1.placements[0]);
-  job.give_back(2);
+  job.requeue(2);
   a1.placements.clear();
   std::set<std::uint32_t> seen;
   while (job.waiting() > 0) EXPECT_TRUE(seen.insert(job.take_waiting(a1)).second);
@@ -261,7 +261,7 @@
   EXPECT_EQ(placed(), 0u);
   now_wall = 46;  // overdue: nobody knows when it will be up
   EXPECT_EQ(placed(), 4u);
-  booting.hired_wall_s = now_wall = constants::boot_wait_s + 1;
+  booting.rented_wall_s = now_wall = constants::boot_wait_s + 1;
   EXPECT_EQ(placed(), 4u);  // they have waited long enough
 }
 
