--- /dev/null
+++ b/tests/world/scenario_file.cpp
@@ -0,0 +1,52 @@
+#include "world/scenario_file.hpp"
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace poppystile::world {
+
+std::string Statement::text(const std::string& key, const std::string& otherwise) const {
+  const auto it = values.find(key);
+  return it == values.end() ? otherwise : it->second;
+}
+
+double Statement::number(const std::string& key, double otherwise) const {
+  const auto it = values.find(key);
+  return it == values.end() ? otherwise : std::stod(it->second);
+}
+
+int Statement::count(const std::string& key, int otherwise) const {
+  return static_cast<int>(number(key, otherwise));
+}
+
+std::vector<std::string> split(const std::string& text, char at) {
+  std::vector<std::string> out;
+  std::stringstream rest(text);
+  for (std::string part; std::getline(rest, part, at);) out.push_back(part);
+  return out;
+}
+
+std::vector<Statement> read_scenario_file(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error("cannot read " + path);
+  std::vector<Statement> out;
+  int number = 0;
+  for (std::string text; std::getline(file, text);) {
+    Statement statement;
+    statement.line = ++number;
+    std::stringstream rest(text.substr(0, text.find('#')));
+    for (std::string word; rest >> word;) {
+      const auto equals = word.find('=');
+      if (equals == std::string::npos || word == ">=" || word == "<=") {
+        statement.words.push_back(word);
+      } else {
+        statement.values[word.substr(0, equals)] = word.substr(equals + 1);
+      }
+    }
+    if (!statement.words.empty()) out.push_back(std::move(statement));
+  }
+  return out;
+}
+
+}  // namespace poppystile::world
