--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -10,6 +10,19 @@
 namespace poppystile::planning {
 namespace {
 
+class OneType : public testing::Test {
+ protected:
+  OneType() {
+    context.types = &types;
+    context.teams = &teams;
+  }
+  Model model;
+  const std::vector<protocol::MachineType> types = {
+      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
+  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
+  FleetContext context;
+};
+
 // One type that boots quickly, and one that is cheaper for its size and slow.
 class TwoTypes : public testing::Test {
  protected:
@@ -75,33 +88,19 @@
 
 // A machine whose replicas fit nowhere else never runs empty; what waited for its room, where
 // nothing could be rented, waited for ever.
-TEST(Fleet, ADrainingMachineTakesWhatCannotBeRented) {
-  Model model;
+TEST_F(OneType, ADrainingMachineTakesWhatCannotBeRented) {
   add(model, spec("req-1", JobKind::array, 4, Priority::normal));
   Machine& draining = add(model, "a1", 16);
   draining.draining = true;
-  const std::vector<protocol::MachineType> types = {
-      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
-  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
-  FleetContext context;
-  context.types = &types;
-  context.teams = &teams;
   context.refused = {{"t", "a", true}, {"t", "a", false}};
   EXPECT_EQ(plan_fleet(model, context).undrain, std::vector<std::string>{"a1"});
   model.jobs.at("req-1").record.spec.zone = "b";
   EXPECT_TRUE(plan_fleet(model, context).undrain.empty());
 }
 
-TEST(Fleet, RentsTheCheapestAllowedAndSkipsWhatWasRefused) {
-  Model model;
+TEST_F(OneType, RentsTheCheapestAllowedAndSkipsWhatWasRefused) {
   JobSpec job = spec("req-1", JobKind::array, 8, Priority::normal);
   add(model, job);
-  const std::vector<protocol::MachineType> types = {
-      {"t", {16000, 0, 64000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
-  const std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
-  FleetContext context;
-  context.types = &types;
-  context.teams = &teams;
   const FleetPlan first = plan_fleet(model, context);
   ASSERT_EQ(first.hire.size(), 1u);
   EXPECT_TRUE(first.hire[0].offer.spot);
