Directory and job API tests share one fixture for the simulated state service

The members and the first loading stood twice. Every assertion stays; the one on loading stands in the fixture and, being fatal within SetUp, still keeps the test's body from running.

--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -3,22 +3,16 @@
 
 #include <gtest/gtest.h>
 
-#include "world/event_queue.hpp"
-#include "world/lone_caller.hpp"
-#include "world/state_service.hpp"
+#include "unit/directory_fixture.hpp"
 
 namespace poppystile::coordination {
 namespace {
 
 using protocol::Json;
 
-class DirectoryTest : public testing::Test {
+class DirectoryTest : public DirectoryFixture {
  protected:
-  void SetUp() override {
-    directory.start();
-    queue.run_until(1);
-    ASSERT_TRUE(directory.loaded());
-  }
+  void SetUp() override { load_directory(); }
   void write(const std::string& key, const Json& value) {
     world::write_record(service, key, value);
     queue.run_until(queue.now() + 0.2);
@@ -31,13 +25,6 @@
     job.spec.each = {1000, 0, 1000};
     return bookkeeping::encode(job);
   }
-
-  world::EventQueue queue{5};
-  world::StateService service{queue, 250, 40, 32};
-  world::LoneCaller caller{queue, service, 0};
-  protocol::Settings settings;
-  StateStore store{caller, caller, settings};
-  Directory directory{caller, store};
 };
 
 TEST_F(DirectoryTest, AnOlderRecordDoesNotUndoACancellationThatASiblingTold) {
--- a/tests/unit/job_api_test.cpp
+++ b/tests/unit/job_api_test.cpp
@@ -3,9 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "world/event_queue.hpp"
-#include "world/lone_caller.hpp"
-#include "world/state_service.hpp"
+#include "unit/directory_fixture.hpp"
 
 namespace poppystile::coordination {
 namespace {
@@ -13,7 +11,7 @@
 using protocol::Json;
 using transport::HttpResponse;
 
-class JobApiTest : public testing::Test {
+class JobApiTest : public DirectoryFixture {
  protected:
   void SetUp() override {
     settings.state_rps = 250;
@@ -24,9 +22,7 @@
         {"g8", {32000, 8000, 64000}, 50, 1, 1.0, 0.3, 20, {"a", "b"}},
         {"c4", {16000, 0, 32000}, 50, 1, 1.0, 0.3, 20, {"a"}}};
     world::write_record(service, bookkeeping::keys::catalog, bookkeeping::encode_catalog(types));
-    directory.start();
-    queue.run_until(1);
-    ASSERT_TRUE(directory.loaded());
+    load_directory();
   }
 
   static Json job() {
@@ -49,12 +45,6 @@
     return got;
   }
 
-  world::EventQueue queue{5};
-  world::StateService service{queue, 250, 40, 32};
-  world::LoneCaller caller{queue, service, 0};
-  protocol::Settings settings;
-  StateStore store{caller, caller, settings};
-  Directory directory{caller, store};
   JobApi desk{caller, store, directory, settings, [](const auto&) { return TaskCounts{}; }};
   double took_s = -1;
 };
