--- /dev/null
+++ b/tests/unit/production_forms_test.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// Stored and peer forms of arrays and services, as the version in production (commit 94473f9,
+/// `production` in deploy/service.toml) writes them. Both versions serve side by side during an
+/// upgrade and each works on the other's data, so this version must read these samples and write
+/// the same bytes. The file compiles against that commit's headers too, which is how the samples
+/// were recorded and checked.
+#include <gtest/gtest.h>
+
+#include "bookkeeping/journal.hpp"
+#include "bookkeeping/records.hpp"
+#include "protocol/peer_messages.hpp"
+#include "protocol/submission.hpp"
+
+namespace poppystile {
+namespace {
+
+using bookkeeping::Json;
+
+constexpr const char* array_record =
+    R"({"at":1700000000.25,"cancelled":false,"job":{"builds":["g8","c4"],"bundle":"img-07",)"
+    R"("cores":8.0,"crew":"vision","due_s":900.0,"gpus":1.0,"guess_s":240.0,"id":"req-000412",)"
+    R"("lane":"train","loaners":true,"mark_cost_s":4.0,"mark_every_s":30.0,"one_zone":true,)"
+    R"("pieces":16,"pull_gb":6.2,"ram_gb":64.0,"rank":"high","scatter":false,"shape":"sweep",)"
+    R"("yard":"a"},"v":1})";
+constexpr const char* service_record =
+    R"({"at":1700000001.0,"cancelled":true,"job":{"bundle":"img-01","cores":4.0,"crew":"ops",)"
+    R"("gpus":0.0,"guess_s":0.0,"id":"req-000007","lane":"mirror","loaners":false,)"
+    R"("mark_cost_s":0.0,"mark_every_s":0.0,"one_zone":false,"pieces":1,"pull_gb":2.5,)"
+    R"("ram_gb":6.7,"rank":"production","scatter":false,"shape":"standing"},"v":1})";
+
+TEST(ProductionForms, JobRecordsAreReadAndWrittenAlike) {
+  for (const char* stored : {array_record, service_record}) {
+    const bookkeeping::JobRecord record = bookkeeping::decode_job(Json::parse(stored));
+    EXPECT_EQ(bookkeeping::encode(record).dump(), stored);
+  }
+  const auto array = bookkeeping::decode_job(Json::parse(array_record));
+  EXPECT_EQ(array.spec.kind, protocol::JobKind::array);
+  EXPECT_EQ(array.spec.tasks, 16u);
+  EXPECT_EQ(bookkeeping::decode_job(Json::parse(service_record)).spec.kind,
+            protocol::JobKind::service);
+}
+
+TEST(ProductionForms, SmallRecordsAreWrittenAlike) {
+  EXPECT_EQ(bookkeeping::encode(bookkeeping::LeaderRecord{"stile-1", 41}).dump(),
+            R"({"name":"stile-1","token":41,"v":1})");
+  EXPECT_EQ(bookkeeping::encode_token(41).dump(), R"({"token":41,"v":1})");
+  EXPECT_EQ(bookkeeping::encode_over(protocol::JobState::done).dump(), R"({"done":true,"v":1})");
+  EXPECT_EQ(bookkeeping::encode_over(protocol::JobState::cancelled).dump(),
+            R"({"done":false,"v":1})");
+  EXPECT_EQ(bookkeeping::job_key("req-7"), "shared/job/req-7");
+  EXPECT_EQ(bookkeeping::over_key("req-7"), "shared/over/req-7");
+  EXPECT_EQ(bookkeeping::keys::leader, "shared/ctl/leader");
+  EXPECT_EQ(bookkeeping::keys::token, "shared/ctl/token");
+  EXPECT_EQ(bookkeeping::keys::catalog, "shared/catalog");
+}
+
+constexpr const char* segment =
+    R"({"n":8,"t":41,"v":2,"e":[["m","n-000001","g8","a",false,0,1700000000.5],)"
+    R"(["s","n-000001",3],["i","n-000001","img-07",6.2],)"
+    R"(["p","req-000412",687865857,["n-000001",0,0]],["e","req-000412",[0,0]],)"
+    R"(["d","req-000412",[1,1]],["b","req-000412",4,"b0"],)"
+    R"(["h","h-41-1","g8","a",true,12],["x","h-41-1"],["g","n-000002"]]})";
+
+TEST(ProductionForms, JournalEntriesAreWrittenAlike) {
+  using namespace bookkeeping;
+  const std::vector<Json> entries = {
+      known_entry("n-000001", "g8", "a", false, 0, 1700000000.5),
+      session_entry("n-000001", 3),
+      image_entry("n-000001", {"img-07", 6.2}),
+      placed_entry("req-000412", (std::uint64_t{41} << 24) + 1, "n-000001", 0),
+      ended_entry("req-000412", 0),
+      finished_entry("req-000412", 1),
+      finished_bits_entry("req-000412", 4, {true, true, false, true, false}),
+      hire_entry("h-41-1", {"g8", "a", true, 12}),
+      hire_settled_entry("h-41-1"),
+      gone_entry("n-000002")};
+  std::vector<std::string> texts;
+  for (const Json& each : entries) texts.push_back(each.dump());
+  EXPECT_EQ(encode_part(8, 41, texts), segment);
+  EXPECT_EQ(encode(JournalHead{3, 2, 8}).dump(), R"({"from":8,"gen":3,"parts":2,"v":2})");
+  EXPECT_EQ(segment_key(5), "journal/log/5");
+  EXPECT_EQ(snapshot_key(3, 1), "journal/snap/1/1");
+}
+
+TEST(ProductionForms, AJournalIsReadWhole) {
+  using namespace bookkeeping;
+  JournalReader reader;
+  reader.add(keys::journal_head, Json::parse(R"({"from":8,"gen":3,"parts":1,"v":2})"));
+  reader.add("journal/snap/1/0",
+             Json::parse(R"({"n":3,"t":40,"v":2,"e":[["m","n-000001","g8","a",false,2,1.7e9],)"
+                         R"(["p","req-000412",671088641,["n-000001",2,3]]]})"));
+  reader.add("journal/log/8", Json::parse(segment));
+  const Ledger ledger = reader.replay();
+  ASSERT_TRUE(ledger.machines.contains("n-000001"));
+  EXPECT_EQ(ledger.machines.at("n-000001").session, 3u);
+  EXPECT_EQ(ledger.machines.at("n-000001").images.at(0).name, "img-07");
+  EXPECT_TRUE(ledger.jobs.at("req-000412").placed.empty());
+  EXPECT_TRUE(ledger.jobs.at("req-000412").is_finished(1));
+  EXPECT_TRUE(ledger.jobs.at("req-000412").is_finished(7));
+  EXPECT_TRUE(ledger.rentals.empty());
+}
+
+std::string hex(const std::string& bytes) {
+  std::string out;
+  for (const unsigned char each : bytes) {
+    constexpr const char* digits = "0123456789abcdef";
+    out += digits[each >> 4];
+    out += digits[each & 15];
+  }
+  return out;
+}
+
+TEST(ProductionForms, PeerFramesAreWrittenAlike) {
+  protocol::PeerStatus status;
+  status.name = "stile-1";
+  status.incarnation = 77;
+  status.born_wall_s = 1024;
+  status.token = 41;
+  status.leading = true;
+  status.sent_wall_s = 2048;
+  status.state_wall_s = 2047;
+  status.proven_wall_s = 2046;
+  status.redirected_reports = 12;
+  status.counts = {{"req-000412", 5, 6}};
+  status.cancelled = {"req-000007"};
+  const std::string frame = protocol::encode_peer_status(status);
+  EXPECT_EQ(hex(frame),
+            "8d1b0000000000000004677374696c652d311b000000000000004dfb40900000000000001b0000000000"
+            "0000291b0000000000000001fb40a0000000000000fb409ffc0000000000fb409ff800000000001b0000"
+            "00000000000c836a7265712d3030303431321b00000000000000051b0000000000000006816a7265712d"
+            "3030303030371b0000000000000001");
+  const auto read = protocol::decode_peer_status(frame);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read->counts.at(0).running, 6u);
+}
+
+}  // namespace
+}  // namespace poppystile
