State service: keep to the lower of the present and the coming limits (state.next)

Cause: after the limits fall, values cut for 8 KiB, transactions of 32 changes and bitmaps of 16,000 tasks got 400, and the leader stepped down over and over. A 400 is an outcome of its own and is never repeated unchanged; a job too large to be stored gets 422; a cancelled job's record that was stored under a higher limit leaves out its types, so that it can be replaced.

--- a/src/bookkeeping/journal.cpp
+++ b/src/bookkeeping/journal.cpp
@@ -142,14 +142,14 @@
 
 Json hire_settled_entry(const std::string& name) { return Json::array({settled_word, name}); }
 
-bool merge_entries(Json& last, const Json& next) {
+bool merge_entries(Json& last, const Json& next, std::size_t max_runs) {
   const std::string word = last[0].get<std::string>();
   if (last[0] != next[0] || last[1] != next[1]) return false;
   const bool places = word == placed_word;
   if (!places && word != ended_word && word != finished_word) return false;
   if (places && last[2] != next[2]) return false;
   // Kept short, so that a record can always be cut between two entries.
-  if (last.size() >= constants::journal_entry_runs) return false;
+  if (last.size() >= max_runs) return false;
   if (!extend(last, next.back(), places ? 1 : 0)) last.push_back(next.back());
   return true;
 }
--- a/src/bookkeeping/journal.hpp
+++ b/src/bookkeeping/journal.hpp
@@ -37,7 +37,7 @@
 Json hire_settled_entry(const std::string& name);
 
 // Adds to `last` what `next` says when one entry can carry both; false when it cannot.
-bool merge_entries(Json& last, const Json& next);
+bool merge_entries(Json& last, const Json& next, std::size_t max_runs);
 
 struct LedgerTask {
   std::string machine;
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -43,6 +43,14 @@
           {"cancelled", record.cancelled}};
 }
 
+Json encode_cancelled(JobRecord record, std::size_t max_bytes) {
+  record.cancelled = true;
+  Json value = encode(record);
+  if (value.dump().size() <= max_bytes) return value;
+  record.spec.types.reset();
+  return encode(record);
+}
+
 JobRecord decode_job(const Json& value) {
   check_version(value);
   return {protocol::parse_submission(need(value, "job")), need_amount(value, "at"),
--- a/src/bookkeeping/records.hpp
+++ b/src/bookkeeping/records.hpp
@@ -57,6 +57,10 @@
 // Encoders give the value; decoders throw DecodeError, also for a version they do not know.
 Json encode(const LeaderRecord& record);
 Json encode(const JobRecord& record);
+/// The record once cancelled. One that was stored under a higher limit than `max_bytes` leaves out
+/// the allowed types, which no cancelled job needs any more: so it can be replaced at any limit
+/// that the service knows.
+Json encode_cancelled(JobRecord record, std::size_t max_bytes);
 Json encode_token(std::uint64_t token);
 Json encode_over(protocol::JobState state);
 Json encode_catalog(const std::vector<protocol::MachineType>& types);
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -127,9 +127,19 @@
 inline constexpr std::size_t max_name_bytes = 200;
 
 // --- records ---
-// tasks a done bitmap of a snapshot holds; hex of 16,000 bits is 4,000 bytes, half of the smallest
-// value limit.
-inline constexpr std::uint32_t bitmap_chunk_tasks = 16'000;
+// share of the state service's limit on a value that one of ours may fill.
+inline constexpr double value_fill_share = 0.9;
+// changes that a transaction must at least be able to carry.
+inline constexpr int min_txn_ops = 2;
+// bytes of a value that a bitmap in hex may take; the rest is for the entry around it, which holds
+// one job id of at most `max_id_bytes`, and for the record.
+inline constexpr double bitmap_value_share = 0.5;
+// bytes that one run of a journal entry takes at most with the machine names of the cloud in
+// PROTOCOL's form and five digits an index; a longer one makes its entry longer than planned, which
+// the share that is left free allows for.
+inline constexpr std::size_t journal_run_bytes = 40;
+// tasks a done bitmap of a snapshot holds at most; fewer where a value must be small.
+inline constexpr std::size_t max_bitmap_chunk_tasks = 16'000;
 // bytes of values in one transaction; PROTOCOL's bound is 64 KiB with everything around them.
 inline constexpr std::size_t max_transaction_bytes = 48'000;
 // segments; the ring of keys that the journal goes round in. A snapshot is due after half of them,
@@ -138,8 +148,9 @@
 // bytes of segments after which a snapshot is due, unless the last snapshot was larger: then that
 // many, so that at most every second byte written is a snapshot's.
 inline constexpr std::size_t journal_least_bytes = 64 * 1024;
-// runs one journal entry carries at most, so that records can be cut between entries.
-inline constexpr std::size_t journal_entry_runs = 64;
+// runs one journal entry carries at most, so that records can be cut between entries; fewer where a
+// value must be small.
+inline constexpr std::size_t max_journal_entry_runs = 64;
 // share of the state service's changes a second that segments of the journal may take; at the usual
 // limits this is one every 0.15 s or so, which is also what a start waits for it.
 inline constexpr double journal_rate_share = 0.15;
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -128,6 +128,8 @@
 void CloudDesk::record_catalog(const std::vector<MachineType>& types) {
   if (directory_.catalog_version() != 0) return;
   const protocol::Json value = bookkeeping::encode_catalog(types);
+  if (value.dump().size() > settings_.state_limits.max_value_bytes())
+    return spdlog::error("catalog too large to be recorded types={}", types.size());
   protocol::Transaction transaction;
   transaction.conditions = {leadership_.fence(), {bookkeeping::keys::catalog, 0}};
   transaction.changes = {{bookkeeping::keys::catalog, value.dump(), 0}};
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -158,7 +158,7 @@
 std::vector<Json> Dispatcher::snapshot() const {
   std::vector<Json> out;
   const auto add = [&](Json entry) {
-    if (out.empty() || !bookkeeping::merge_entries(out.back(), entry))
+    if (out.empty() || !bookkeeping::merge_entries(out.back(), entry, journal_.max_entry_runs()))
       out.push_back(std::move(entry));
   };
   for (const auto& [id, machine] : model_.machines) {
@@ -169,11 +169,11 @@
       if (each.phase != PlacementPhase::exited)
         add(bookkeeping::placed_entry(each.job, each.attempt, id, each.index));
   }
+  const std::size_t chunk = journal_.max_bitmap_tasks();
   for (const auto& [id, job] : model_.jobs) {
     if (job.finished == 0) continue;
-    for (std::size_t first = 0; first < job.phases.size(); first += constants::bitmap_chunk_tasks) {
-      std::vector<bool> bits(
-          std::min<std::size_t>(job.phases.size() - first, constants::bitmap_chunk_tasks));
+    for (std::size_t first = 0; first < job.phases.size(); first += chunk) {
+      std::vector<bool> bits(std::min<std::size_t>(job.phases.size() - first, chunk));
       for (std::size_t i = 0; i < bits.size(); ++i)
         bits[i] = job.phases[first + i] == TaskPhase::finished;
       add(bookkeeping::finished_bits_entry(id, static_cast<std::uint32_t>(first), bits));
@@ -710,7 +710,7 @@
   transaction.conditions.push_back(leadership_.fence());
   std::vector<std::string> jobs;
   while (!closable_.empty() &&
-         transaction.changes.size() + 2 <= static_cast<std::size_t>(settings_.txn_ops)) {
+         transaction.changes.size() + 2 <= settings_.state_limits.max_changes()) {
     const std::string id = closable_.extract(closable_.begin()).value();
     const Job* job = model_.job(id);
     if (job == nullptr) continue;
@@ -739,6 +739,8 @@
     if (leadership_.deposed(result)) return;
     // The sweep brings back those that moved, once the watch has told what became of them.
     close_at_s_ = runtime_.now_s() + constants::state_retry_s;
+    // Not the same again: the sweep gathers them anew.
+    if (result.outcome == Outcome::invalid) return;
     for (const auto& id : jobs) {
       const Job* job = model_.job(id);
       const bool moved = std::find(result.failed.begin(), result.failed.end(),
--- a/src/coordination/job_api.cpp
+++ b/src/coordination/job_api.cpp
@@ -25,6 +25,8 @@
           constants::retry_after_s};
 }
 
+constexpr const char* too_large = "the job's description is too large to be stored";
+
 HttpResponse not_found() { return {404, protocol::encode_error("no such job")}; }
 
 }  // namespace
@@ -72,7 +74,7 @@
 void JobApi::ask_gathered() {
   std::vector<Question> batch;
   // Two conditions at most for each question.
-  const std::size_t most = static_cast<std::size_t>(settings_.txn_ops) * 2;
+  const std::size_t most = settings_.state_limits.max_conditions() / 2;
   for (auto& each : std::exchange(gathered_, {})) {
     batch.push_back(std::move(each));
     if (batch.size() == most) ask(std::exchange(batch, {}));
@@ -220,6 +222,8 @@
   const std::string id = job.id;
   const bookkeeping::JobRecord record{std::move(job), runtime_.wall_s(), false};
   const protocol::Json value = bookkeeping::encode(record);
+  if (value.dump().size() > settings_.state_limits.max_value_bytes())
+    return respond({422, protocol::encode_error(too_large)});
   protocol::Transaction transaction;
   transaction.conditions = {{job_key(id), 0}, {over_key(id), 0}};
   transaction.changes = {{job_key(id), value.dump(), 0}};
@@ -245,6 +249,8 @@
                                          accept(spec, since_s, respond);
                                        });
                         return;
+                      case Outcome::invalid:
+                        return respond({422, protocol::encode_error(too_large)});
                       default:
                         return respond(later());
                     }
@@ -269,9 +275,8 @@
     mark_cancelled(id, since_s, respond);
   };
   if (known == nullptr) return read_again(id, again);
-  bookkeeping::JobRecord record = known->record;
-  record.cancelled = true;
-  const protocol::Json value = bookkeeping::encode(record);
+  const protocol::Json value =
+      bookkeeping::encode_cancelled(known->record, settings_.state_limits.max_value_bytes());
   protocol::Transaction transaction;
   transaction.conditions = {{job_key(id), known->version}};
   transaction.changes = {{job_key(id), value.dump(), 0}};
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -103,7 +103,7 @@
   transaction.conditions.push_back(leadership_.fence());
   std::vector<std::string> removed;
   for (const auto& [key, version] : versions_) {
-    if (removed.size() == static_cast<std::size_t>(settings_.txn_ops)) break;
+    if (removed.size() == settings_.state_limits.max_changes()) break;
     removed.push_back(key);
     transaction.changes.push_back({key, {}, 0});
   }
@@ -120,24 +120,33 @@
 
 // --- writing ---
 
+std::size_t JournalDesk::max_entry_runs() const {
+  return std::clamp<std::size_t>(
+      settings_.state_limits.max_value_bytes() / constants::journal_run_bytes, 1,
+      constants::max_journal_entry_runs);
+}
+
+std::size_t JournalDesk::max_bitmap_tasks() const {
+  const double hex_digits =
+      constants::bitmap_value_share * static_cast<double>(settings_.state_limits.max_value_bytes());
+  // Whole hex digits of four tasks each.
+  return std::clamp<std::size_t>(4 * static_cast<std::size_t>(hex_digits), 4,
+                                 constants::max_bitmap_chunk_tasks);
+}
+
 std::uint64_t JournalDesk::append(Json entry) {
-  if (pending_.empty() || !bookkeeping::merge_entries(pending_.back(), entry))
+  if (pending_.empty() || !bookkeeping::merge_entries(pending_.back(), entry, max_entry_runs()))
     pending_.push_back(std::move(entry));
   return ++appended_;
 }
 
-std::size_t JournalDesk::most_value_bytes() const {
-  // A tenth is left for the frame around the entries.
-  return static_cast<std::size_t>(settings_.value_kb * 1024 * 0.9);
-}
-
 // The texts of entries, in groups that fit a record each.
 std::vector<std::vector<std::string>> JournalDesk::grouped(const std::vector<Json>& entries) const {
   std::vector<std::vector<std::string>> out;
   std::size_t bytes = 0;
   for (const Json& each : entries) {
     std::string text = each.dump();
-    if (out.empty() || bytes + text.size() > most_value_bytes()) {
+    if (out.empty() || bytes + text.size() > settings_.state_limits.max_value_bytes()) {
       out.emplace_back();
       bytes = 0;
     }
@@ -187,7 +196,7 @@
   consider_snapshot();
   if (segments_.empty()) cut();
   std::size_t bytes = 0;
-  const auto most = static_cast<std::size_t>(settings_.txn_ops);
+  const std::size_t most = settings_.state_limits.max_changes();
   const auto take = [&](std::deque<Record>& from) {
     bytes += from.front().value.size();
     batch_.push_back(std::move(from.front()));
@@ -228,7 +237,8 @@
     transaction.changes.push_back({each.key, each.value, 0});
   }
   busy_ = true;
-  send_at_s_ = runtime_.now_s() + 1 / (constants::journal_rate_share * settings_.state_write_rps);
+  send_at_s_ =
+      runtime_.now_s() + 1 / (constants::journal_rate_share * settings_.state_limits.write_rps);
   store_.transact(transaction, Urgency::journal,
                   [this, term = term_](const TransactionResult& result) {
                     if (term == term_) settled(result);
@@ -238,7 +248,8 @@
 void JournalDesk::settled(const TransactionResult& result) {
   busy_ = false;
   if (result.outcome == Outcome::ok) return landed(result.revision);
-  if (result.outcome == Outcome::lease_gone)
+  // The same again would be refused again: a successor begins with a snapshot of its own.
+  if (result.outcome == Outcome::invalid)
     return leadership_.step_down("the state service refuses the journal");
   if (result.outcome != Outcome::conflict) {
     // Also when nobody knows whether it was carried out: the same again, word for word.
--- a/src/coordination/journal_desk.hpp
+++ b/src/coordination/journal_desk.hpp
@@ -36,6 +36,9 @@
   // Returns the log_position up to which the journal must land for the entry to be durable.
   std::uint64_t append(bookkeeping::Json entry);
   bool durable(std::uint64_t log_position) const { return log_position <= landed_; }
+  // What one entry may carry at most, so that it fits a record.
+  std::size_t max_entry_runs() const;
+  std::size_t max_bitmap_tasks() const;
   void pump();  // called often while leading
   // Segments a successor would have to read after the snapshot.
   std::uint64_t segments_since_snapshot() const { return next_number_ - head_.from; }
@@ -65,7 +68,6 @@
   void verify();
   void landed(std::uint64_t revision);
   void later(std::function<void()> action);
-  std::size_t most_value_bytes() const;
 
   transport::Runtime& runtime_;
   StateStore& store_;
--- a/src/coordination/state_store.cpp
+++ b/src/coordination/state_store.cpp
@@ -24,6 +24,8 @@
       return Outcome::unknown;
     case 409:
       return Outcome::conflict;
+    case 400:
+      return Outcome::invalid;
     case 429:
       return Outcome::throttled;
     default:
@@ -66,8 +68,8 @@
     : runtime_(runtime),
       http_(http),
       endpoint_(settings.state),
-      requests_(settings.state_rps, runtime.now_s()),
-      writes_(settings.state_write_rps, runtime.now_s()) {
+      requests_(settings.state_limits.rps, runtime.now_s()),
+      writes_(settings.state_limits.write_rps, runtime.now_s()) {
   set_share(constants::follower_rate_share);
 }
 
@@ -195,8 +197,9 @@
               TransactionResult result;
               result.outcome = outcome_of(response);
               if (response.status == 400) {
-                result.outcome = Outcome::lease_gone;
-                spdlog::info("transaction refused answer=\"{}\"", response.body.substr(0, 200));
+                result.outcome = protocol::tells_of_lease(response.body) ? Outcome::lease_gone
+                                                                         : Outcome::invalid;
+                spdlog::error("transaction refused answer=\"{}\"", response.body.substr(0, 200));
               }
               if (result.outcome == Outcome::ok)
                 result.outcome = parsed(result.outcome, [&] {
--- a/src/coordination/state_store.hpp
+++ b/src/coordination/state_store.hpp
@@ -25,7 +25,8 @@
   throttled,  // 429: nothing was executed, the rate was too high
   refused,    // 503: nothing was executed
   lease_gone,
-  unknown  // no answer: it may have been executed, or be executed later
+  invalid,  // 400: nothing was executed, and the same again never will be
+  unknown   // no answer: it may have been executed, or be executed later
 };
 
 struct TransactionResult {
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -46,21 +46,49 @@
   return found == nullptr ? otherwise : as_amount(*found, name);
 }
 
+// Absent, or a number above 0.
+double positive_or(const Json& object, const char* name, double otherwise) {
+  return find(object, name) == nullptr ? otherwise : need_positive(object, name);
+}
+
 TeamSettings parse_team(const Json& each) {
   return {need_text(each, "name"), amount_or(each, "cpus", 0), amount_or(each, "cpus_max", 0),
           amount_or(each, "gpus", 0), amount_or(each, "gpus_max", 0)};
 }
 
+// Absent in the settings of deployments without gangs.
+std::optional<GangTimes> parse_gang_times(const Json& workers) {
+  const double wait = positive_or(workers, "gang_wait_s", 0);
+  const double peer = positive_or(workers, "gang_peer_s", 0);
+  if (wait == 0 || peer == 0) return std::nullopt;
+  return GangTimes{wait, peer};
+}
+
+// A name that is absent has the limit of `otherwise`.
+StateLimits state_limits_or(const Json& given, const StateLimits& otherwise) {
+  StateLimits out;
+  out.rps = positive_or(given, "rps", otherwise.rps);
+  out.write_rps = positive_or(given, "write_rps", otherwise.write_rps);
+  out.value_kb = positive_or(given, "value_kb", otherwise.value_kb);
+  out.txn_ops = static_cast<int>(positive_or(given, "txn_ops", otherwise.txn_ops));
+  return out;
+}
+
+// `next` holds the limits that the service will have from some unannounced moment on.
+StateLimits parse_state_limits(const Json& state) {
+  for (const char* name : {"rps", "write_rps", "value_kb", "txn_ops"}) need_positive(state, name);
+  const StateLimits present = state_limits_or(state, {});
+  if (find(state, "next") == nullptr) return present;
+  return lower_of(present, state_limits_or(need_section(state, "next"), present));
+}
+
 void parse_limits(const Json& given, Settings& out) {
   const Json& workers = need_section(given, "workers");
   out.report_s = need_positive(workers, "report_s");
   out.lease_s = need_positive(workers, "lease_s");
   out.cancel_s = need_positive(workers, "cancel_s");
-  const Json& state = need_section(given, "state");
-  out.state_rps = need_positive(state, "rps");
-  out.state_write_rps = need_positive(state, "write_rps");
-  out.value_kb = need_positive(state, "value_kb");
-  out.txn_ops = static_cast<int>(need_positive(state, "txn_ops"));
+  out.gang_times = parse_gang_times(workers);
+  out.state_limits = parse_state_limits(need_section(given, "state"));
   const Json& cloud = need_section(given, "cloud");
   out.cloud_rps = need_positive(cloud, "rps");
   out.list_lag_s = need_amount(cloud, "list_lag_s");
@@ -78,6 +106,9 @@
     throw DecodeError("lease_s: expected less than cancel_s, got " + std::to_string(out.lease_s));
   if (out.report_s >= out.lease_s)
     throw DecodeError("report_s: expected less than lease_s, got " + std::to_string(out.report_s));
+  // A final record is two changes: it replaces the job's.
+  if (out.state_limits.txn_ops < constants::min_txn_ops)
+    throw DecodeError("txn_ops: expected at least " + std::to_string(constants::min_txn_ops));
   const auto least = constants::min_own_sockets + 2 * out.siblings.size() + 1;
   if (out.sockets < static_cast<double>(least))
     throw DecodeError("sockets: expected at least " + std::to_string(least) +
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -1,9 +1,11 @@
 // The settings file that the platform hands over (DEPLOY), checked.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "protocol/state_limits.hpp"
 #include "transport/http.hpp"
 
 namespace poppystile::protocol {
@@ -25,6 +27,12 @@
   double within_s = 0;
 };
 
+// How long workers wait for the other tasks of a gang.
+struct GangTimes {
+  double wait_s = 0;  // for the gang to be complete
+  double peer_s = 0;  // until the loss of another task is noticed
+};
+
 struct Settings {
   std::string name;
   std::string zone;
@@ -37,8 +45,8 @@
   std::vector<TeamSettings> teams;
   std::vector<FinishAim> finish_aims;
   double report_s = 1, lease_s = 10, cancel_s = 30;
-  double state_rps = 100, state_write_rps = 20, value_kb = 8;
-  int txn_ops = 16;
+  std::optional<GangTimes> gang_times;  // without them no gang can be run
+  StateLimits state_limits;             // the lower of the present and the coming ones
   double cloud_rps = 1, list_lag_s = 5;
   double sockets = 256;
   double clock_bound_s = 0.1;
--- a/src/protocol/state_messages.cpp
+++ b/src/protocol/state_messages.cpp
@@ -91,4 +91,8 @@
   return out;
 }
 
+bool tells_of_lease(const std::string& body) {
+  return body.find("no such lease") != std::string::npos;
+}
+
 }  // namespace poppystile::protocol
--- a/tests/settings_check.sh
+++ b/tests/settings_check.sh
@@ -41,6 +41,21 @@
 expect_refusal 'ram_mb: expected a number above 0' --config "$dir/bad.json"
 sed 's/"sockets":600/"sockets":600,"core_share":0/' "$dir/good.json" > "$dir/bad.json"
 expect_refusal 'core_share: expected a number above 0' --config "$dir/bad.json"
+with_next() {  # VALUE FILE
+  sed "s/\"txn_ops\":32/\"txn_ops\":32,\"next\":$1/" "$dir/good.json" > "$dir/$2"
+}
+with_next '{"value_kb":2,"txn_ops":8}' next.json
+"$program" --check --config "$dir/next.json" || fail "settings with coming limits were refused"
+with_next '{"value_kb":0}' bad.json
+expect_refusal 'value_kb: expected a number above 0' --config "$dir/bad.json"
+with_next 7 bad.json
+expect_refusal 'next: expected an object' --config "$dir/bad.json"
+with_next '{"txn_ops":1}' bad.json
+expect_refusal 'txn_ops: expected at least 2' --config "$dir/bad.json"
+sed 's/"lease_s":10/"lease_s":10,"gang_wait_s":-1,"gang_peer_s":6/' "$dir/good.json" > "$dir/bad.json"
+expect_refusal 'gang_wait_s out of range' --config "$dir/bad.json"
+sed 's/"lease_s":10/"lease_s":10,"gang_wait_s":40,"gang_peer_s":0/' "$dir/good.json" > "$dir/bad.json"
+expect_refusal 'gang_peer_s: expected a number above 0' --config "$dir/bad.json"
 echo '{' > "$dir/bad.json"
 expect_refusal 'not JSON' --config "$dir/bad.json"
 expect_refusal 'cannot be read' --config "$dir/absent.json"
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -153,6 +153,19 @@
   EXPECT_THROW(bookkeeping::decode_job(value), DecodeError);
 }
 
+// A record stored under a higher limit must be replaceable under a lower one, or its job could not
+// be cancelled any more.
+TEST(Records, ACancelledJobsRecordFitsALowerLimit) {
+  bookkeeping::JobRecord record{protocol::parse_submission(protocol::parse_object(submission)),
+                                1.7e9, false};
+  record.spec.types.emplace(100, std::string(30, 't'));
+  ASSERT_GT(bookkeeping::encode(record).dump().size(), 2048u);
+  const Json small = bookkeeping::encode_cancelled(record, 1843);
+  EXPECT_LE(small.dump().size(), 1843u);
+  EXPECT_TRUE(bookkeeping::decode_job(small).cancelled);
+  EXPECT_TRUE(bookkeeping::decode_job(bookkeeping::encode_cancelled(record, 7372)).spec.types);
+}
+
 protocol::PeerStatus peer_status() {
   protocol::PeerStatus status;
   status.name = "stile-1";
--- a/tests/unit/job_api_test.cpp
+++ b/tests/unit/job_api_test.cpp
@@ -14,9 +14,9 @@
 class JobApiTest : public DirectoryFixture {
  protected:
   void SetUp() override {
-    settings.state_rps = 250;
-    settings.state_write_rps = 40;
-    settings.txn_ops = 32;
+    settings.state_limits.rps = 250;
+    settings.state_limits.write_rps = 40;
+    settings.state_limits.txn_ops = 32;
     settings.teams = {{"vision", 8, 40, 0, 2}, {"free", 0, 0, 0, 0}};
     const std::vector<protocol::MachineType> types = {
         {"g8", {32000, 8000, 64000}, 50, 1, 1.0, 0.3, 20, {"a", "b"}},
@@ -103,6 +103,12 @@
   }
 }
 
+TEST_F(JobApiTest, WhatCannotBeStoredUnderTheLimitIsRefusedAtOnce) {
+  settings.state_limits.value_kb = 0.25;
+  EXPECT_EQ(submit(job()).status, 422);
+  EXPECT_FALSE(service.has(bookkeeping::job_key("req-000412")));
+}
+
 // A comparison that was answered late says nothing about now: another node may have told more.
 TEST_F(JobApiTest, WhatWasSeenLongAgoIsNotTold) {
   ASSERT_EQ(submit(job()).status, 201);
--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -27,9 +27,9 @@
        double lose_answers)
       : LoneCaller(queue, service, lose_answers) {
     settings.name = name;
-    settings.state_rps = 250;
-    settings.state_write_rps = 40;
-    settings.txn_ops = 32;
+    settings.state_limits.rps = 250;
+    settings.state_limits.write_rps = 40;
+    settings.state_limits.txn_ops = 32;
     store.emplace(*this, *this, settings);
     directory.emplace(*this, *store);
     leadership.emplace(*this, *store, *directory, name, queue.random());
@@ -165,6 +165,16 @@
   for (const auto& [id, session] : durable) EXPECT_GE(next.ledger.machines.at(id).session, session);
 }
 
+// What the service will not take once its limits have fallen must not be cut to the present ones.
+TEST_F(JournalDeskTest, EntriesFollowTheLimitsOfTheSettings) {
+  Life& life = begin();
+  EXPECT_EQ(life.journal->max_entry_runs(), constants::max_journal_entry_runs);
+  EXPECT_EQ(life.journal->max_bitmap_tasks(), 14744u);
+  life.settings.state_limits.value_kb = 2;
+  EXPECT_EQ(life.journal->max_entry_runs(), 46u);
+  EXPECT_EQ(life.journal->max_bitmap_tasks(), 3684u);
+}
+
 TEST_F(JournalDeskTest, AnUnknownFormIsNotReadAsEmpty) {
   service.handle(
       {"POST", "/multi", R"({"when":[],"apply":[{"write":"journal/log/1","data":{"v":9}}]})"},
--- a/tests/unit/journal_test.cpp
+++ b/tests/unit/journal_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "constants.hpp"
+
 namespace poppystile::bookkeeping {
 namespace {
 
@@ -11,7 +13,8 @@
 std::vector<Json> merged(const std::vector<Json>& entries) {
   std::vector<Json> out;
   for (const Json& each : entries)
-    if (out.empty() || !merge_entries(out.back(), each)) out.push_back(each);
+    if (out.empty() || !merge_entries(out.back(), each, constants::max_journal_entry_runs))
+      out.push_back(each);
   return out;
 }
 
--- a/tests/unit/node_test.cpp
+++ b/tests/unit/node_test.cpp
@@ -47,9 +47,9 @@
     made.siblings = {{"stile-1", "a", {}}, {"stile-2", "b", {}}};
     made.lease_s = lease_s;
     made.cancel_s = cancel_s;
-    made.state_rps = 250;
-    made.state_write_rps = 40;
-    made.txn_ops = 32;
+    made.state_limits.rps = 250;
+    made.state_limits.write_rps = 40;
+    made.state_limits.txn_ops = 32;
     return made;
   }
 
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -99,6 +99,9 @@
   out.state_rps = statement.number("rps", 250);
   out.state_write_rps = statement.number("write_rps", 40);
   out.txn_ops = statement.count("txn_ops", 32);
+  if (statement.values.contains("next_value_kb"))
+    out.next_limits = {out.state_rps, statement.number("next_write_rps", 28),
+                       statement.number("next_value_kb", 2), statement.count("next_txn_ops", 8)};
   out.lose_answers = statement.number("lose_answers", 0);
   out.list_lag_s = statement.number("list_lag_s", 3);
 }
@@ -264,6 +267,7 @@
          world.state_down(true);
          world.queue().after(for_s(s), [&world] { world.state_down(false); });
        }},
+      {"lower_limits", [](Scenario& self, const Statement&) { self.world_->lower_state_limits(); }},
       {"cloud_down",
        [](Scenario& self, const Statement& s) {
          World& world = *self.world_;
@@ -359,6 +363,7 @@
       {"mistaken_starts", of_rules(&Rules::mistaken_starts)},
       {"cancelled_starts", of_rules(&Rules::cancelled_starts)},
       {"state_refused", of_world(&World::state_refused)},
+      {"state_invalid", of_world(&World::state_invalid)},
       {"state_requests", of_world(&World::state_requests)},
       {"state_changes", of_world(&World::state_changes)},
       {"lapses", of_world(&World::lapses)},
--- a/tests/world/scenario.hpp
+++ b/tests/world/scenario.hpp
@@ -3,7 +3,8 @@
 ///
 ///   world KEY=VALUE...            seed, seeds (how many, one after the other), until, nodes,
 ///                                 report_s, lease_s, cancel_s, rps, write_rps, txn_ops,
-///                                 lose_answers, list_lag_s
+///                                 lose_answers, list_lag_s; next_value_kb, next_txn_ops and
+///                                 next_write_rps: limits that `lower_limits` puts into force
 ///   type NAME KEY=VALUE...        cpus, memory, price, spot_price, boot, zones, count, spot,
 ///                                 fetch, cache
 ///   team NAME cpus= cpus_max=
@@ -12,9 +13,9 @@
 ///                                 mistaken
 ///   at SECONDS ACTION KEY=VALUE...    times=N every=SECONDS: more than once
 ///   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
-///                                 state_requests, state_changes, lapses, stale_releases,
-///                                 unheard_starts, cancelled_starts, mistaken_starts,
-///                                 machine_seconds; OP is >= or <=
+///                                 state_requests, state_changes, state_invalid, lapses,
+///                                 stale_releases, unheard_starts, cancelled_starts,
+///                                 mistaken_starts, machine_seconds; OP is >= or <=
 ///
 /// A node is any, leader, follower, others (all but the leader, for cuts), all (for crashes) or a
 /// number. Once the last fault is over, every accepted job must get answers again, and none may
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -12,7 +12,6 @@
 constexpr std::size_t page_bytes = std::size_t{512} * 1024;
 constexpr std::size_t most_log = 10'000;
 constexpr std::size_t most_body = std::size_t{64} * 1024;
-constexpr std::size_t most_value = std::size_t{8} * 1024;
 }  // namespace
 
 std::map<std::string, std::string> query_of(const std::string& target) {
@@ -54,6 +53,12 @@
   wake();
 }
 
+void StateService::set_limits(double write_rps, int txn_ops, double value_kb) {
+  write_rps_ = write_rps;
+  txn_ops_ = txn_ops;
+  max_value_bytes_ = static_cast<std::size_t>(value_kb * 1024);
+}
+
 void StateService::handle(const HttpRequest& request, const Reply& reply) {
   if (down_) return reply({503, R"({"error":"trouble"})"});
   if (!spend(requests_left_, requests_at_, rps_, 1)) {
@@ -98,12 +103,10 @@
   const Json root = protocol::parse_object(body);
   const Json when = root.value("when", Json::array());
   const Json apply = root.value("apply", Json::array());
-  if (body.size() > most_body || apply.size() > static_cast<std::size_t>(txn_ops_) ||
-      when.size() > 4 * static_cast<std::size_t>(txn_ops_))
+  if (too_large(body, when, apply)) {
+    ++invalid_;
     return reply({400, R"({"error":"too large"})"});
-  for (const Json& each : apply)
-    if (each.contains("data") && each["data"].dump().size() > most_value)
-      return reply({400, R"({"error":"value too large"})"});
+  }
   changes_ += apply.size();
   if (!spend(writes_left_, writes_at_, write_rps_, static_cast<double>(apply.size()))) {
     ++refused_;
@@ -131,6 +134,15 @@
   reply({200, Json{{"epoch", revision_}}.dump()});
 }
 
+bool StateService::too_large(const std::string& body, const Json& when, const Json& apply) const {
+  const auto max_changes = static_cast<std::size_t>(txn_ops_);
+  if (body.size() > most_body || apply.size() > max_changes || when.size() > 4 * max_changes)
+    return true;
+  return std::any_of(apply.begin(), apply.end(), [&](const Json& each) {
+    return each.contains("data") && each["data"].dump().size() > max_value_bytes_;
+  });
+}
+
 void StateService::put(const std::string& key, const Json& value, std::uint64_t lease) {
   items_[key] = {value, revision_, lease};
   log_.push_back({key, value, revision_});
--- a/tests/world/state_service.hpp
+++ b/tests/world/state_service.hpp
@@ -22,8 +22,12 @@
 
   void handle(const transport::HttpRequest& request, const Reply& reply);
   void set_down(bool down);
+  // From now on; what is stored stays.
+  void set_limits(double write_rps, int txn_ops, double value_kb);
   bool has(const std::string& key) const { return items_.contains(key); }
   std::uint64_t refused() const { return refused_; }
+  // Requests that were answered with 400.
+  std::uint64_t invalid() const { return invalid_; }
   std::uint64_t requests() const { return requests_; }
   std::uint64_t changes() const { return changes_; }
 
@@ -52,6 +56,7 @@
 
   bool spend(double& left, double& at, double rate, double amount);
   void transact(const std::string& body, const Reply& reply);
+  bool too_large(const std::string& body, const Json& when, const Json& apply) const;
   void put(const std::string& key, const Json& value, std::uint64_t lease);
   void erase(const std::string& key);
   void list(const std::map<std::string, std::string>& query, const Reply& reply);
@@ -64,6 +69,8 @@
   EventQueue& queue_;
   double rps_, write_rps_;
   int txn_ops_;
+  std::size_t max_value_bytes_ = std::size_t{8} * 1024;
+  std::uint64_t invalid_ = 0;
   double requests_left_, requests_at_ = 0;
   double writes_left_, writes_at_ = 0;
   bool down_ = false;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -203,9 +203,11 @@
   s.report_s = settings_.report_s;
   s.lease_s = settings_.lease_s;
   s.cancel_s = settings_.cancel_s;
-  s.state_rps = settings_.state_rps;
-  s.state_write_rps = settings_.state_write_rps;
-  s.txn_ops = settings_.txn_ops;
+  s.state_limits.rps = settings_.state_rps;
+  s.state_limits.write_rps = settings_.state_write_rps;
+  s.state_limits.txn_ops = settings_.txn_ops;
+  if (settings_.next_limits)
+    s.state_limits = protocol::lower_of(s.state_limits, *settings_.next_limits);
   s.cloud_rps = 6;
   s.list_lag_s = settings_.list_lag_s;
   s.siblings.clear();
@@ -217,6 +219,12 @@
   self.node->start();
 }
 
+void World::lower_state_limits() {
+  if (!settings_.next_limits) return;
+  const auto& next = *settings_.next_limits;
+  state_->set_limits(next.write_rps, next.txn_ops, next.value_kb);
+}
+
 // --- network ---
 
 void World::send_report(const std::string& node, const Worker& from, const std::string& body,
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,8 @@
   double report_s = 1, lease_s = 10, cancel_s = 35;
   double state_rps = 250, state_write_rps = 40;
   int txn_ops = 32;
+  // Of the settings' `state.next`; the nodes know them from the start.
+  std::optional<protocol::StateLimits> next_limits;
   double list_lag_s = 3;
   double lose_answers = 0;  // share of the state service's answers that never arrive
   std::vector<std::string> zones = {"a", "b"};
@@ -67,6 +70,8 @@
   void heal(int node);
   // What is in the zone, controllers and workers, reaches only what is in it.
   void cut_zone(const std::string& zone, bool hold, double for_s);
+  // The state service's limits fall to those of `next_limits`.
+  void lower_state_limits();
   void state_down(bool down) { state_->set_down(down); }
   void hang_machines(int count, double for_s);
   void kill_machines(int count);
@@ -103,6 +108,7 @@
 
   std::size_t accepted() const { return rules_.accepted_jobs(); }
   std::uint64_t state_refused() const { return state_->refused(); }
+  std::uint64_t state_invalid() const { return state_->invalid(); }
   std::uint64_t state_requests() const { return state_->requests(); }
   std::uint64_t state_changes() const { return state_->changes(); }
   // Releases asked for by a node while another led under a higher token.
