--- a/src/bookkeeping/model.cpp
+++ b/src/bookkeeping/model.cpp
@@ -22,6 +22,7 @@
 }
 
 std::uint32_t Job::to_try() const {
+  if (is_gang()) return gang.is_over() ? 0 : waiting();
   if (retry_pause_s == 0) return waiting();
   const auto out = static_cast<std::uint32_t>(placements.size());
   return std::min(waiting(), constants::retry_probes - std::min(constants::retry_probes, out));
@@ -44,6 +45,18 @@
   ++finished;
 }
 
+void Job::finish_all() {
+  for (std::uint32_t index = 0; index < spec().tasks; ++index)
+    if (!is_task_finished(index)) finish(index);
+}
+
+void Job::for_each_placement(const std::function<void(Placement&)>& action) {
+  for (const auto& [index, machine] : placements)
+    for (auto& each : machine->placements)
+      if (each.index == index && each.job == spec().id && each.phase != PlacementPhase::exited)
+        action(each);
+}
+
 bool Machine::holds(const std::string& image) const {
   return std::any_of(images.begin(), images.end(),
                      [&](const CachedImage& each) { return each.name == image; });
@@ -71,6 +84,19 @@
   return it == jobs.end() ? nullptr : &it->second;
 }
 
+void Model::note_gang(const JobRecord& record) {
+  RecentGang& recent = recent_gangs[record.spec.job_class];
+  if (record.spec.tasks >= recent.largest.tasks) recent.largest = record.spec;
+  recent.seen_wall_s = std::max(recent.seen_wall_s, record.accepted_wall_s);
+}
+
+bool Model::may_replace_tasks(const Job& job, double now_s, double max_wait_s) const {
+  if (job.gang.phase != GangAttempt::Phase::assembling) return false;
+  if (now_s - job.gang.placed_s > max_wait_s) return false;
+  return std::all_of(job.placements.begin(), job.placements.end(),
+                     [&](const auto& each) { return each.second->heard_s > job.gang.lost_s; });
+}
+
 Placement& Model::place(Machine& machine, Job& job, std::uint64_t attempt, double now_s) {
   return restore(machine, job, job.take_waiting(machine), attempt, now_s);
 }
--- a/src/bookkeeping/model.hpp
+++ b/src/bookkeeping/model.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -17,6 +18,7 @@
 using protocol::Resources;
 
 struct Machine;
+struct Placement;
 
 enum class TaskPhase : std::uint8_t {
   waiting,  // on no machine, and the journal says so
@@ -24,6 +26,26 @@
   finished  // exited with done; durable once the journal has landed that far
 };
 
+// The present attempt of a gang: from the placement of all its tasks in one decision until the last
+// of them is proven to be off its machine.
+struct GangAttempt {
+  enum class Phase : std::uint8_t {
+    none,        // no task is placed
+    assembling,  // every task is placed, or to be replaced; none has been seen to run
+    running,
+    stopping,  // told to save and stop, all together
+    ending     // a task is gone: the others are stopped, for nothing is left to save
+  };
+  Phase phase = Phase::none;
+  std::uint64_t number = 0;    // of the attempt; all its tasks carry it
+  double placed_s = 0;         // steady
+  double lost_s = 0;           // steady; when the newest task was found to be gone
+  std::set<std::string> left;  // machines that a task of this attempt has left
+
+  // Whether no task may be started or replaced any more.
+  bool is_over() const { return phase == Phase::stopping || phase == Phase::ending; }
+};
+
 struct Job {
   JobRecord record;
   std::uint64_t version = 0;  // of the job's record, for conditional changes
@@ -36,12 +58,15 @@
   double retry_pause_s = 0;         // above 0: it fails wherever it runs
   std::set<std::string> failed_on;  // machines, since it last ran well
   double failed_after_s = 0;        // the longest run that has failed since
+  GangAttempt gang;                 // of a gang only
 
   const JobSpec& spec() const { return record.spec; }
+  bool is_gang() const { return spec().kind == JobKind::gang; }
+  bool is_task_finished(std::uint32_t index) const { return phases[index] == TaskPhase::finished; }
   std::uint32_t waiting() const {
     return spec().tasks - static_cast<std::uint32_t>(placements.size()) - finished;
   }
-  // Of those, how many may be tried: a few when all fail.
+  // Of those, how many may be tried: a few when all fail; of a gang all, or those to be replaced.
   std::uint32_t to_try() const;
   // A task of it has run well.
   void trust();
@@ -50,9 +75,14 @@
   std::uint32_t take_waiting(Machine& machine);
   void requeue(std::uint32_t index);
   void finish(std::uint32_t index);
+  // Every task that is not finished yet: the tasks of a gang complete together.
+  void finish_all();
+  // Calls `action` with each placement of the job.
+  void for_each_placement(const std::function<void(Placement&)>& action);
 };
 
-enum class PlacementPhase : std::uint8_t { assigned, fetching, running, saving, exited };
+// `waiting`: for the other tasks of its gang.
+enum class PlacementPhase : std::uint8_t { assigned, fetching, waiting, running, saving, exited };
 
 struct Placement {
   std::string job;
@@ -114,6 +144,12 @@
   Placement* find(const std::string& job, std::uint32_t index, std::uint64_t attempt);
 };
 
+// The newest gangs of a class, by which room is kept ready for the next.
+struct RecentGang {
+  JobSpec largest;
+  double seen_wall_s = 0;  // of the newest submission
+};
+
 // What one team's tasks may be using.
 struct TeamUse {
   Resources used;
@@ -123,8 +159,13 @@
   std::unordered_map<std::string, Job> jobs;
   std::map<std::string, Machine> machines;
   std::map<std::string, TeamUse> teams;
+  std::map<std::string, RecentGang> recent_gangs;  // by class
 
   Job* job(const std::string& id);
+  void note_gang(const JobRecord& record);
+  // Whether a gang that lost tasks before it began may have them replaced: every task that is left
+  // has been reported since, and none of them runs.
+  bool may_replace_tasks(const Job& job, double now_s, double max_wait_s) const;
   Placement& place(Machine& machine, Job& job, std::uint64_t attempt, double now_s);
   // A placement that is taken to be there already, such as one read from the journal.
   Placement& restore(Machine& machine, Job& job, std::uint32_t index, std::uint64_t attempt,
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -195,6 +195,16 @@
 inline constexpr double remote_offset_units = 1.0;
 // seconds between plans at most; a plan costs processor time that reports need too.
 inline constexpr double plan_gap_s = 0.2;
+// seconds of each period for which a gang that finds no room keeps others off the room that frees
+// itself: tasks of half a minute free enough of it, and single tasks, which may not wait 90 s
+// beside room, have their turn in the rest.
+inline constexpr double gang_hold_s = 40.0;
+inline constexpr double gang_hold_period_s = 55.0;
+// share of the time that workers wait for their gang within which a lost task is replaced; later a
+// new attempt is sooner complete.
+inline constexpr double gang_replace_share = 0.4;
+// seconds after the newest gang of a class for which room is kept ready for the next one.
+inline constexpr double gang_ready_s = 120.0;
 // seconds; a run time is never believed to be shorter, so that loads stay finite.
 inline constexpr double min_estimate_s = 1.0;
 // times its own duration that a plan leaves free after it: so plans take a tenth of the processor's
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -33,6 +33,19 @@
   return span_s * (1 + constants::clock_drift) + constants::lease_margin_s;
 }
 
+PlacementPhase phase_of(TaskState state) {
+  switch (state) {
+    case TaskState::waiting:
+      return PlacementPhase::waiting;
+    case TaskState::running:
+      return PlacementPhase::running;
+    case TaskState::saving:
+      return PlacementPhase::saving;
+    default:
+      return PlacementPhase::fetching;
+  }
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(transport::Runtime& runtime, Directory& directory, StateStore& store,
@@ -45,7 +58,8 @@
       journal_(journal),
       cloud_(cloud),
       settings_(settings),
-      properties_(properties) {
+      properties_(properties),
+      gangs_(settings) {
   leadership_.on_won([this] { won(); });
   leadership_.on_lost([this] { lost(); });
   directory_.on_job([this](const std::string& id) { job_changed(id); });
@@ -121,8 +135,11 @@
     const auto& finished = found->second.finished;
     for (std::uint32_t i = 0; i < std::min(finished.size(), job.phases.size()); ++i)
       if (finished[i]) job.finish(i);
+    if (job.is_gang() && job.finished > 0) job.finish_all();
   }
   for (const auto& [id, known] : ledger.machines) restore_machine(id, known, ledger);
+  for (auto& [id, job] : model_.jobs)
+    if (job.is_gang()) GangTracker::on_restored(job, ready_s_);
   ready_ = true;
   plan_due_ = true;
   for (auto& [id, job] : model_.jobs) {
@@ -149,6 +166,7 @@
   for (const auto& [job_id, index] : known.tasks) {
     Job* job = model_.job(job_id);
     if (job == nullptr || index >= job->phases.size()) continue;  // over: nothing left to do
+    if (job->is_task_finished(index)) continue;  // of a gang that is done: it has exited
     const auto& task = ledger.jobs.at(job_id).placed.at(index);
     model_.restore(machine, *job, index, task.attempt, ready_s_);
   }
@@ -210,6 +228,7 @@
   job.record = known.record;
   job.version = known.version;
   job.phases.assign(known.record.spec.tasks, TaskPhase::waiting);
+  if (job.is_gang()) model_.note_gang(job.record);
   return model_.jobs.insert_or_assign(id, std::move(job)).first->second;
 }
 
@@ -221,6 +240,12 @@
       if (each.index == index && each.job == id) each.stopping = true;
 }
 
+void Dispatcher::stop_task(Placement& placement) {
+  Job* job = model_.job(placement.job);
+  if (job != nullptr && job->is_gang()) return GangTracker::stop(*job);
+  placement.stopping = true;
+}
+
 void Dispatcher::note_closable(const std::string& id, const Job& job) {
   if (job.record.cancelled ? job.placements.empty() : job.all_finished()) closable_.insert(id);
 }
@@ -287,8 +312,7 @@
 
 bool Dispatcher::start_under_way(const Machine& machine) const {
   return std::any_of(machine.placements.begin(), machine.placements.end(), [&](const auto& each) {
-    return each.phase == PlacementPhase::assigned && !each.stopping &&
-           !journal_.durable(each.log_position);
+    return may_start(each) && !journal_.durable(each.log_position);
   });
 }
 
@@ -298,9 +322,7 @@
   if (machine.confirmed)
     for (auto& each : machine.placements) {
       // The journal must name the place before anything starts there.
-      if (each.phase != PlacementPhase::assigned || each.stopping ||
-          !journal_.durable(each.log_position))
-        continue;
+      if (!may_start(each) || !journal_.durable(each.log_position)) continue;
       each.sent_session = answer.session;
       each.sent_sequence = answer.sequence;
       answer.commands.push_back({Command::Op::start, each.job, each.index, each.attempt, 0});
@@ -310,6 +332,14 @@
   answer.respond({200, protocol::encode_commands(leadership_.token(), answer.commands)});
 }
 
+bool Dispatcher::may_start(const Placement& placement) const {
+  if (placement.phase != PlacementPhase::assigned || placement.stopping) return false;
+  const auto job = model_.jobs.find(placement.job);
+  // A task of a gang that runs has been started, and is gone if it is not shown.
+  return job == model_.jobs.end() || !job->second.is_gang() ||
+         job->second.gang.phase == bookkeeping::GangAttempt::Phase::assembling;
+}
+
 void Dispatcher::answer_pending_of(const std::string& id) {
   const auto held = pending_responses_.find(id);
   if (held == pending_responses_.end()) return;
@@ -380,7 +410,9 @@
     for (auto& each : machine.placements) {
       const Job* job = model_.job(each.job);
       const bool service = job != nullptr && job->spec().kind == protocol::JobKind::service;
-      if (service || *report.notice_s <= 2.5 * settings_.report_s) each.stopping = true;
+      const double needed =
+          2.5 * settings_.report_s + (job != nullptr && job->is_gang() ? stop_grace_s(job) : 0);
+      if (service || *report.notice_s <= needed) stop_task(each);
     }
   for (const auto& seen : report.tasks)
     if (Placement* placement = machine.find(seen.job, seen.index, seen.attempt)) {
@@ -438,7 +470,10 @@
     const bool newer = std::make_pair(each.sent_session, each.sent_sequence) <
                        std::make_pair(report.session, report.sequence);
     if (!newer) continue;
-    if (each.shown != 0 || each.stopping) {
+    const Job* job = model_.job(each.job);
+    const bool gang_runs = job != nullptr && job->is_gang() &&
+                           job->gang.phase == bookkeeping::GangAttempt::Phase::running;
+    if (each.shown != 0 || each.stopping || gang_runs) {
       end(machine, each);
     } else if (each.sent_session != 0 && ++each.unheard >= constants::unheard_starts) {
       suspect(machine, "starts are not shown");
@@ -451,9 +486,8 @@
   if (placement.phase == PlacementPhase::exited) return;
   Job* job = model_.job(placement.job);
   if (seen.state == TaskState::exited) return exited(machine, placement, seen.cause);
-  const PlacementPhase phase = seen.state == TaskState::running  ? PlacementPhase::running
-                               : seen.state == TaskState::saving ? PlacementPhase::saving
-                                                                 : PlacementPhase::fetching;
+  if (job != nullptr && job->is_gang()) GangTracker::on_reported(*job, seen.state);
+  const PlacementPhase phase = phase_of(seen.state);
   if (phase == placement.phase) {
     // It has run for longer than it ever did before it failed.
     if (phase == PlacementPhase::running && job != nullptr && !job->failed_on.empty() &&
@@ -463,6 +497,7 @@
   }
   if (job != nullptr) {
     if (placement.phase == PlacementPhase::running) --job->running;
+    if (phase == PlacementPhase::waiting) note_image(machine, *job);
     if (phase == PlacementPhase::running) {
       ++job->running;
       note_image(machine, *job);
@@ -485,8 +520,11 @@
   plan_due_ = true;
   if (cause != ExitCause::done || job == nullptr) {
     failed(machine, placement, cause);
+    const bool gang_over = cause == ExitCause::peer_lost || cause == ExitCause::gang_incomplete;
+    if (gang_over && job != nullptr && job->is_gang()) GangTracker::abandon(*job);
     return end(machine, placement);
   }
+  if (job->is_gang()) return gang_done(machine, placement, *job);
   model_.vacate(machine, placement);
   placement.finished = true;
   machine.failures = 0;
@@ -500,11 +538,27 @@
   note_closable(placement.job, *job);
 }
 
+// The tasks of a gang complete together: the other machines need not be heard.
+void Dispatcher::gang_done(Machine& machine, Placement& placement, Job& gang) {
+  model_.vacate(machine, placement);
+  placement.finished = true;
+  machine.failures = 0;
+  machine.failed_jobs.clear();
+  gang.trust();
+  gang.finish_all();
+  placement.log_position =
+      journal_.append(bookkeeping::finished_entry(placement.job, placement.index));
+  note_closable(placement.job, gang);
+}
+
 // A machine that fails several jobs is faulty; a job that fails on several machines was submitted
 // with a mistake, and condemns none of them.
 void Dispatcher::failed(Machine& machine, const Placement& placement, ExitCause cause) {
   Job* job = model_.job(placement.job);
-  if (job == nullptr || cause == ExitCause::stopped || cause == ExitCause::done) return;
+  // The loss of another task of its gang is no fault of the machine or the job.
+  const bool blameless = cause == ExitCause::stopped || cause == ExitCause::done ||
+                         cause == ExitCause::peer_lost || cause == ExitCause::gang_incomplete;
+  if (job == nullptr || blameless) return;
   const double now = runtime_.now_s();
   // A job's other failures on the same machine tell an operator nothing more.
   const bool news = cause != ExitCause::error || job->failed_on.insert(machine.id).second;
@@ -532,10 +586,18 @@
   if (machine.failures >= constants::quarantine_failures && machine.failed_jobs.size() >= 2 &&
       !std::exchange(machine.quarantined, true)) {
     spdlog::info("machine quarantined id={} failures={}", machine.id, machine.failures);
-    for (auto& each : machine.placements) each.stopping = true;
+    for (auto& each : machine.placements) stop_task(each);
   }
 }
 
+double Dispatcher::stop_grace_s(const Job* job) const {
+  if (job == nullptr || job->record.cancelled || job->spec().checkpoint_s <= 0) return 0;
+  if (!job->is_gang()) return job->spec().save_s;
+  const bool saves = job->gang.phase == bookkeeping::GangAttempt::Phase::running ||
+                     job->gang.phase == bookkeeping::GangAttempt::Phase::stopping;
+  return saves ? gangs_.stop_grace_s(*job) : 0;
+}
+
 // Stops, and leave to forget what has exited. Starts are added when the answer is sent.
 std::vector<Command> Dispatcher::commands_for(Machine& machine, const protocol::Report& report) {
   std::vector<Command> out;
@@ -550,10 +612,8 @@
       command.op = Command::Op::forget;
     } else if (placement != nullptr) {
       if (!placement->stopping) continue;
-      const Job* job = model_.job(placement->job);
-      const bool save = job != nullptr && !job->record.cancelled && job->spec().checkpoint_s > 0;
-      if (save && seen.state == TaskState::saving) continue;
-      command.grace_s = save ? job->spec().save_s : 0;
+      command.grace_s = stop_grace_s(model_.job(placement->job));
+      if (command.grace_s > 0 && seen.state == TaskState::saving) continue;
     }
     out.push_back(std::move(command));
   }
@@ -573,7 +633,9 @@
   Job* job = model_.job(placement.job);
   if (job == nullptr) return;
   journal_.append(bookkeeping::ended_entry(placement.job, placement.index));
+  if (job->is_task_finished(placement.index)) return;  // of a gang that is done
   job->requeue(placement.index);
+  if (job->is_gang()) GangTracker::on_task_lost(*job, machine.id, runtime_.now_s());
   note_closable(placement.job, *job);
 }
 
@@ -634,8 +696,10 @@
     }
     machine.heard = machine.confirmed = false;
   }
-  for (const auto& [id, job] : model_.jobs)
+  for (auto& [id, job] : model_.jobs) {
+    if (job.is_gang()) gangs_.check_assembly(job, now);
     if (job.waiting() > 0 && !job.record.cancelled) plan_due_ = true;
+  }
 }
 
 // Replicas leave a draining machine one at a time. Each is down from its stop until its start
@@ -671,19 +735,13 @@
   context.report_s = settings_.report_s;
   context.now_wall_s = runtime_.wall_s();
   context.finish_aims = &settings_.finish_aims;
+  if (settings_.gang_times) context.gang_wait_s = settings_.gang_times->wait_s;
   const planning::Plan made = planning::make_plan(model_, context);
-  const std::uint64_t attempt = next_attempt();
-  for (const auto& each : made.placements) {
-    Machine& machine = model_.machines.at(each.machine);
-    Placement& placed = model_.place(machine, model_.jobs.at(each.job), attempt, began);
-    placed.log_position =
-        journal_.append(bookkeeping::placed_entry(placed.job, attempt, machine.id, placed.index));
-    spdlog::debug("task placed job={} index={} machine={}", placed.job, placed.index, machine.id);
-  }
+  apply_placements(made.placements, began);
   for (const auto& each : made.stops) {
     Placement* placement =
         model_.machines.at(each.machine).find(each.job, each.index, each.attempt);
-    placement->stopping = true;
+    stop_task(*placement);
     spdlog::info("task preempted job={} index={} machine={}", each.job, each.index, each.machine);
   }
   least_waiting_cpus_ = std::numeric_limits<std::int64_t>::max();
@@ -695,6 +753,27 @@
   plan_at_s_ = ended + std::max(constants::plan_gap_s, (ended - began) * constants::plan_rest);
 }
 
+void Dispatcher::apply_placements(const std::vector<planning::PlannedPlacement>& placements,
+                                  double now_s) {
+  const std::uint64_t plan_attempt = next_attempt();
+  std::map<std::string, std::uint64_t> gang_positions;  // the last of each gang's
+  for (const auto& each : placements) {
+    Machine& machine = model_.machines.at(each.machine);
+    Job& job = model_.jobs.at(each.job);
+    if (job.is_gang()) GangTracker::on_placed(job, plan_attempt, now_s);
+    const std::uint64_t attempt = job.is_gang() ? job.gang.number : plan_attempt;
+    Placement& placed = model_.place(machine, job, attempt, now_s);
+    placed.log_position =
+        journal_.append(bookkeeping::placed_entry(placed.job, attempt, machine.id, placed.index));
+    if (job.is_gang()) gang_positions[job.spec().id] = placed.log_position;
+    spdlog::debug("task placed job={} index={} machine={}", placed.job, placed.index, machine.id);
+  }
+  // No task of a gang starts before the journal names all of them: a successor finds it whole.
+  for (const auto& [id, position] : gang_positions)
+    model_.jobs.at(id).for_each_placement(
+        [position = position](Placement& each) { each.log_position = position; });
+}
+
 // --- final records ---
 
 // The final record and the removal of the job's are one change: a job is never seen in between.
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -11,9 +11,11 @@
 #include "bookkeeping/model.hpp"
 #include "coordination/cloud_desk.hpp"
 #include "coordination/directory.hpp"
+#include "coordination/gang_tracker.hpp"
 #include "coordination/job_api.hpp"
 #include "coordination/journal_desk.hpp"
 #include "coordination/leadership.hpp"
+#include "planning/planner.hpp"
 #include "protocol/properties.hpp"
 #include "protocol/worker_messages.hpp"
 
@@ -57,6 +59,8 @@
   void job_changed(const std::string& id);
   bookkeeping::Job& add_job(const std::string& id, const KnownJob& known);
   void stop_all(const std::string& job);
+  // Stops the task; of a gang all of them together.
+  void stop_task(bookkeeping::Placement& placement);
   void note_closable(const std::string& id, const bookkeeping::Job& job);
 
   // --- reports ---
@@ -68,6 +72,11 @@
   void judge_unshown(bookkeeping::Machine& machine, const protocol::Report& report);
   void exited(bookkeeping::Machine& machine, bookkeeping::Placement& placement,
               protocol::ExitCause cause);
+  void gang_done(bookkeeping::Machine& machine, bookkeeping::Placement& placement,
+                 bookkeeping::Job& gang);
+  // Seconds that a task which is being stopped has to save; 0 where nothing can be saved.
+  double stop_grace_s(const bookkeeping::Job* job) const;
+  bool may_start(const bookkeeping::Placement& placement) const;
   void failed(bookkeeping::Machine& machine, const bookkeeping::Placement& placement,
               protocol::ExitCause cause);
   void judge_session(bookkeeping::Machine& machine);
@@ -88,6 +97,7 @@
   void watch_leases();
   void move_replicas();
   void plan();
+  void apply_placements(const std::vector<planning::PlannedPlacement>& placements, double now_s);
   void close_jobs();
   static protocol::JobState final_state(const bookkeeping::Job& job);
   void closed(const std::vector<std::string>& jobs, const TransactionResult& result);
@@ -101,6 +111,7 @@
   CloudDesk& cloud_;
   const protocol::Settings& settings_;
   const protocol::Properties& properties_;
+  GangTracker gangs_;
   bookkeeping::Model model_;
   std::uint64_t term_ = 0;  // counts takeovers, to drop what belongs to an earlier one
   bool ready_ = false;
--- /dev/null
+++ b/src/coordination/gang_tracker.cpp
@@ -0,0 +1,79 @@
+#include "coordination/gang_tracker.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <set>
+
+#include "constants.hpp"
+
+namespace poppystile::coordination {
+
+using bookkeeping::GangAttempt;
+using bookkeeping::Job;
+using protocol::TaskState;
+using Phase = bookkeeping::GangAttempt::Phase;
+
+void GangTracker::on_placed(Job& gang, std::uint64_t attempt, double now_s) {
+  if (gang.gang.phase != Phase::none) return;
+  gang.gang = {};
+  gang.gang.phase = Phase::assembling;
+  gang.gang.number = attempt;
+  gang.gang.placed_s = now_s;
+  spdlog::info("gang placed id={} tasks={} attempt={}", gang.spec().id, gang.spec().tasks, attempt);
+}
+
+void GangTracker::on_restored(Job& gang, double now_s) {
+  if (gang.placements.empty()) return;
+  std::set<std::uint64_t> attempts;
+  gang.for_each_placement([&](const auto& placement) { attempts.insert(placement.attempt); });
+  on_placed(gang, *attempts.begin(), now_s);
+  if (attempts.size() > 1 || gang.waiting() > 0) abandon(gang);
+}
+
+void GangTracker::on_reported(Job& gang, TaskState state) {
+  const bool begun = state == TaskState::running || state == TaskState::saving;
+  if (begun && gang.gang.phase == Phase::assembling) gang.gang.phase = Phase::running;
+}
+
+void GangTracker::on_task_lost(Job& gang, const std::string& machine, double now_s) {
+  if (gang.placements.empty()) {
+    gang.gang = {};
+    return;
+  }
+  if (gang.gang.phase == Phase::running) return abandon(gang);
+  gang.gang.lost_s = now_s;
+  gang.gang.left.insert(machine);
+}
+
+void GangTracker::stop(Job& gang) {
+  if (gang.gang.phase == Phase::assembling) return abandon(gang);
+  if (gang.gang.phase != Phase::running) return;
+  spdlog::info("gang stops id={} attempt={}", gang.spec().id, gang.gang.number);
+  gang.gang.phase = Phase::stopping;
+  stop_placements(gang);
+}
+
+void GangTracker::abandon(Job& gang) {
+  if (gang.gang.phase == Phase::none || gang.gang.is_over()) return;
+  spdlog::info("gang attempt ends id={} attempt={} begun={}", gang.spec().id, gang.gang.number,
+               gang.gang.phase == Phase::running);
+  gang.gang.phase = Phase::ending;
+  stop_placements(gang);
+}
+
+void GangTracker::check_assembly(Job& gang, double now_s) const {
+  if (gang.gang.phase != Phase::assembling || gang.waiting() == 0 || !settings_.gang_times) return;
+  const double allowed = constants::gang_replace_share * settings_.gang_times->wait_s;
+  if (now_s - gang.gang.placed_s > allowed) abandon(gang);
+}
+
+double GangTracker::stop_grace_s(const Job& gang) const {
+  const double for_others = settings_.gang_times ? settings_.gang_times->peer_s : 0;
+  return gang.spec().save_s + for_others;
+}
+
+void GangTracker::stop_placements(Job& gang) {
+  gang.for_each_placement([](auto& placement) { placement.stopping = true; });
+}
+
+}  // namespace poppystile::coordination
--- /dev/null
+++ b/src/coordination/gang_tracker.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Follows the attempts of gangs: what the state of one task means for the others, and when all of
+/// them are to be stopped. Changes the model only; placing tasks is the planner's, writing the
+/// journal and answering workers the dispatcher's.
+///
+/// An attempt is placed whole and carries one number. Before it has begun, a task that is lost may
+/// be replaced under the same number. Once it runs, the loss of one task ends it: the others are
+/// stopped, and the next attempt begins when every task is proven to be off its machine.
+#pragma once
+
+#include <cstdint>
+
+#include "bookkeeping/model.hpp"
+#include "protocol/settings.hpp"
+#include "protocol/worker_messages.hpp"
+
+namespace poppystile::coordination {
+
+class GangTracker {
+ public:
+  explicit GangTracker(const protocol::Settings& settings) : settings_(settings) {}
+
+  /// Tasks of the gang were placed: a new attempt with this number, or replacements in it.
+  static void on_placed(bookkeeping::Job& gang, std::uint64_t attempt, double now_s);
+  /// Derives the attempt from the placements that a former leader left. One that is named only in
+  /// part is given up.
+  static void on_restored(bookkeeping::Job& gang, double now_s);
+  static void on_reported(bookkeeping::Job& gang, protocol::TaskState state);
+  /// A task was proven to be off the machine without having completed; it is requeued already.
+  static void on_task_lost(bookkeeping::Job& gang, const std::string& machine, double now_s);
+
+  /// Lets all tasks save and stop together.
+  static void stop(bookkeeping::Job& gang);
+  /// Ends the attempt: nothing is left to save.
+  static void abandon(bookkeeping::Job& gang);
+  /// Abandons an attempt whose lost task was not replaced in time.
+  void check_assembly(bookkeeping::Job& gang, double now_s) const;
+
+  /// Seconds that a stopped task gets: to save, and to wait until all others have been told.
+  double stop_grace_s(const bookkeeping::Job& gang) const;
+
+ private:
+  static void stop_placements(bookkeeping::Job& gang);
+
+  const protocol::Settings& settings_;
+};
+
+}  // namespace poppystile::coordination
--- a/src/coordination/job_api.cpp
+++ b/src/coordination/job_api.cpp
@@ -209,7 +209,8 @@
   }
   if (!fits) return "a task fits no allowed machine type";
   if (job.types) job.types = std::move(allowed);
-  const std::int64_t tasks = job.kind == JobKind::service ? job.tasks : 1;
+  if (job.kind == JobKind::gang && !settings_.gang_times) return "gangs are not run here";
+  const std::int64_t tasks = job.kind == JobKind::array ? 1 : job.tasks;
   const auto over = [&](std::int64_t each, double most) {
     return most > 0 && each * tasks > std::llround(most * 1000);
   };
--- a/src/planning/fleet.cpp
+++ b/src/planning/fleet.cpp
@@ -62,9 +62,14 @@
     for (const Job* job : jobs) {
       replicas_wait_ =
           replicas_wait_ || (job->spec().kind == JobKind::service && job->to_try() > 0);
-      pack(job->spec(), wanted(*job), Need::waiting, true);
+      if (job->is_gang()) {
+        pack_gang(job->spec(), wanted(*job), Need::waiting);
+      } else {
+        pack(job->spec(), wanted(*job), Need::waiting, true);
+      }
     }
     pack_reserve(jobs);
+    pack_gang_reserve();
     FleetPlan plan;
     plan.demand_cpus = demand_;
     plan.undrain = draining_for(jobs);
@@ -128,7 +133,7 @@
   // are wanted abreast as finish the work within the time that is left.
   std::uint32_t wanted(const Job& job) const {
     const JobSpec& spec = job.spec();
-    if (spec.kind == JobKind::service) return job.to_try();
+    if (spec.kind != JobKind::array) return job.to_try();
     const double expected = believed_run_s(spec);
     const double age = context_.now_wall_s - job.record.accepted_wall_s;
     const double left = spec.deadline_s ? *spec.deadline_s - age : 3 * expected;
@@ -163,6 +168,36 @@
     }
   }
 
+  // Where its tasks must be in one zone, that zone is chosen first.
+  void pack_gang(const JobSpec& spec, std::uint32_t count, Need need) {
+    if (count == 0) return;
+    JobSpec placed = spec;
+    if (spec.one_zone && !spec.zone) placed.zone = zone_for(spec, count);
+    pack(placed, count, need, true);
+  }
+
+  // The zone with the most room for the job; where it is too little, only zones count in which
+  // machines can be rented, if there are any.
+  std::optional<std::string> zone_for(const JobSpec& spec, std::uint32_t count) const {
+    std::map<std::string, std::int64_t> room;
+    for (const auto& type : *context_.types)
+      for (const auto& zone : type.zones) room[zone];
+    for (const auto& bin : bins_)
+      if (may_run_on(spec, bin.like)) room[bin.like.zone] += spec.each.times_in(bin.room);
+    std::optional<std::string> best;
+    bool best_serves = false;
+    for (const auto& [zone, tasks] : room) {
+      JobSpec there = spec;
+      there.zone = zone;
+      const bool serves = tasks >= count || cheapest(there, true).has_value();
+      if (best && (best_serves > serves || (best_serves == serves && room.at(*best) >= tasks)))
+        continue;
+      best = zone;
+      best_serves = serves;
+    }
+    return best;
+  }
+
   static std::uint32_t fill(Bin& bin, const JobSpec& spec, std::uint32_t count) {
     const auto fits =
         static_cast<std::uint32_t>(std::min<std::int64_t>(spec.each.times_in(bin.room), count));
@@ -253,6 +288,13 @@
     }
   }
 
+  // Room for the next gang of each class that came lately, as large as the largest of them.
+  void pack_gang_reserve() {
+    for (const auto& [name, recent] : model_.recent_gangs)
+      if (context_.now_wall_s - recent.seen_wall_s < constants::gang_ready_s)
+        pack_gang(recent.largest, recent.largest.tasks, Need::reserve);
+  }
+
   // The job of a replica that is there; nothing for an array's task or what has exited.
   const JobSpec* service_of(const bookkeeping::Placement& placement) const {
     const auto job = model_.jobs.find(placement.job);
--- a/src/planning/plan_draft.cpp
+++ b/src/planning/plan_draft.cpp
@@ -110,15 +110,39 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, times));
 }
 
-bool PlanDraft::zone_allows(const JobSpec& job, const std::string& zone) {
-  if (!job.one_zone && !job.spread) return true;
+std::uint32_t PlanDraft::zone_room(const JobSpec& job, const std::string& zone) {
+  if (!job.one_zone && !job.spread) return job.tasks;
   const auto& zones = tasks_by_zone(job);
   if (job.one_zone)
     for (const auto& [other, count] : zones)
-      if (count > 0 && other != zone) return false;
-  if (!job.spread) return true;
+      if (count > 0 && other != zone) return 0;
+  if (!job.spread) return job.tasks;
   const auto here = zones.find(zone);
-  return here == zones.end() || here->second < (job.tasks + 1) / 2;
+  const std::uint32_t most = (job.tasks + 1) / 2;
+  return here == zones.end() ? most : most - std::min(most, here->second);
+}
+
+void PlanDraft::hold_team_use(const JobSpec& job, std::uint32_t count) {
+  for (std::uint32_t i = 0; i < count; ++i) used_[job.team] += job.each;
+}
+
+bool PlanDraft::can_stop_together(const Job& gang) const {
+  return std::all_of(gang.placements.begin(), gang.placements.end(), [](const auto& each) {
+    const Machine& machine = *each.second;
+    return machine.heard && machine.confirmed && !machine.late && !machine.suspect;
+  });
+}
+
+void PlanDraft::stop_gang(const Job& gang) {
+  std::map<std::string, MachineSlot*> slot_of_machine;
+  for (auto& slot : slots_) slot_of_machine[slot.machine->id] = &slot;
+  for (const auto& [index, machine] : gang.placements)
+    for (const auto& placement : machine->placements) {
+      if (placement.index != index || placement.job != gang.spec().id) continue;
+      const auto slot = slot_of_machine.find(machine->id);
+      if (slot != slot_of_machine.end()) slot->second->stopping += placement.each;
+      plan_.stops.push_back({machine->id, placement.job, placement.index, placement.attempt});
+    }
 }
 
 bool PlanDraft::fits(const MachineSlot& slot, const JobSpec& job) {
--- a/src/planning/plan_draft.hpp
+++ b/src/planning/plan_draft.hpp
@@ -46,13 +46,22 @@
 
   /// How many more tasks of the job its team's limit allows.
   std::uint32_t team_room(const protocol::JobSpec& job) const;
-  /// Whether `one_zone` and `spread` allow one more task of the job in the zone.
-  bool zone_allows(const protocol::JobSpec& job, const std::string& zone);
+  /// How many more tasks of the job `one_zone` and `spread` allow in the zone.
+  std::uint32_t zone_room(const protocol::JobSpec& job, const std::string& zone);
+  bool zone_allows(const protocol::JobSpec& job, const std::string& zone) {
+    return zone_room(job, zone) > 0;
+  }
   bool fits(const MachineSlot& slot, const protocol::JobSpec& job);
   /// Places one task of the job.
   void commit(MachineSlot& slot, const protocol::JobSpec& job);
-  /// Sets room aside on a booting machine for one task that waits for it; decides nothing.
+  /// Sets room aside for one task that waits for it; decides nothing.
   void reserve(MachineSlot& slot, const protocol::JobSpec& job);
+  /// Counts so many tasks of the job as used by its team, so that others leave them room.
+  void hold_team_use(const protocol::JobSpec& job, std::uint32_t count);
+  /// Whether all machines of a gang take commands, so that its tasks can be stopped together.
+  bool can_stop_together(const bookkeeping::Job& gang) const;
+  /// Records that all tasks of a gang are to be stopped.
+  void stop_gang(const bookkeeping::Job& gang);
   /// Records that a placement is to be stopped; its room counts as on its way.
   void stop(MachineSlot& slot, const bookkeeping::Placement& placement);
   /// Of the class's replicas, the share that is in the zone.
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 
+#include "constants.hpp"
 #include "planning/array_batches.hpp"
+#include "planning/gang_placement.hpp"
 #include "planning/job_order.hpp"
 #include "planning/plan_draft.hpp"
 #include "planning/preemption.hpp"
@@ -21,17 +23,33 @@
 struct WaitingJobs {
   std::vector<const Job*> services;
   std::vector<const Job*> starved;  // arrays of whatever priority that have waited long
-  std::map<int, std::vector<const Job*>, std::greater<>> arrays;  // by priority
+  // By priority.
+  std::map<int, std::vector<const Job*>, std::greater<>> gangs;
+  std::map<int, std::vector<const Job*>, std::greater<>> arrays;
 
-  bool empty() const { return services.empty() && starved.empty() && arrays.empty(); }
+  bool empty() const {
+    return services.empty() && starved.empty() && gangs.empty() && arrays.empty();
+  }
 };
 
-WaitingJobs waiting_jobs(const bookkeeping::Model& model, const JobOrder& order, double now_s) {
+// Whole, or with tasks to be replaced before it has begun.
+bool may_be_placed(const bookkeeping::Model& model, const Job& gang,
+                   const PlanningContext& context) {
+  return gang.placements.empty() ||
+         model.may_replace_tasks(gang, context.now_s,
+                                 constants::gang_replace_share * context.gang_wait_s);
+}
+
+WaitingJobs waiting_jobs(const bookkeeping::Model& model, const JobOrder& order,
+                         const PlanningContext& context) {
   WaitingJobs out;
   for (const auto& [id, job] : model.jobs) {
-    if (job.record.cancelled || job.to_try() == 0 || job.retry_at_s > now_s) continue;
+    if (job.record.cancelled || job.to_try() == 0 || job.retry_at_s > context.now_s) continue;
     if (job.spec().kind == JobKind::service) {
       out.services.push_back(&job);
+    } else if (job.is_gang()) {
+      if (may_be_placed(model, job, context))
+        out.gangs[static_cast<int>(job.spec().priority)].push_back(&job);
     } else if (order.is_starved(job)) {
       out.starved.push_back(&job);
     } else {
@@ -45,7 +63,7 @@
 
 Plan make_plan(const bookkeeping::Model& model, const PlanningContext& context) {
   JobOrder order(model, context);
-  WaitingJobs waiting = waiting_jobs(model, order, context.now_s);
+  WaitingJobs waiting = waiting_jobs(model, order, context);
   if (waiting.empty()) return {};
   PlanDraft draft(model, context);
   draft.add_slots();
@@ -61,7 +79,13 @@
   ArrayBatches batches(draft, order, preemption);
   std::stable_sort(waiting.starved.begin(), waiting.starved.end(), JobOrder::accepted_before);
   batches.place(waiting.starved);
-  for (auto& [priority, jobs] : waiting.arrays) {
+  GangPlacement gang_placement(draft, order, preemption);
+  for (int priority = static_cast<int>(protocol::Priority::production); priority >= 0; --priority) {
+    // Gangs first: they need room together, which single tasks would take piece by piece.
+    auto& gangs = waiting.gangs[priority];
+    std::stable_sort(gangs.begin(), gangs.end(), before);
+    for (const Job* gang : gangs) gang_placement.place(*gang);
+    auto& jobs = waiting.arrays[priority];
     std::stable_sort(jobs.begin(), jobs.end(), before);
     batches.place(jobs);
     batches.claim_guarantees(jobs);
--- a/src/planning/planner.hpp
+++ b/src/planning/planner.hpp
@@ -41,6 +41,7 @@
   double report_s = 1;
   double now_wall_s = 0;
   const std::vector<protocol::FinishAim>* finish_aims = nullptr;
+  double gang_wait_s = 0;  // for which workers wait until their gang is complete
 };
 
 /// Plans all waiting jobs onto the machines that take tasks: services first, then arrays that have
--- a/src/planning/preemption.hpp
+++ b/src/planning/preemption.hpp
@@ -19,7 +19,18 @@
   /// searched often enough.
   bool make_room(const bookkeeping::Job& waiting);
 
+  /// Room for all waiting tasks of a gang in `zone` (anywhere where that is empty): what is free or
+  /// on its way, and the fewest tasks that may be stopped for it. Nobody is stopped where that is
+  /// not enough for the whole gang.
+  bool make_room_for_gang(const bookkeeping::Job& waiting, const std::string& zone);
+
  private:
+  /// Placements on the machine that may be stopped for `waiting`, those that lose least first.
+  std::vector<const bookkeeping::Placement*> yielding_on(const MachineSlot& slot,
+                                                         const bookkeeping::Job& waiting) const;
+  /// Tasks that are lost when the placement is stopped: a gang's all.
+  std::size_t cost_of(const bookkeeping::Placement& placement) const;
+  void stop(MachineSlot& slot, const bookkeeping::Placement& placement);
   bool reserve_stopping(const protocol::JobSpec& job);
   bool may_use(const MachineSlot& slot, const protocol::JobSpec& job);
   /// Whether work of `owner` may be stopped for a task of `waiting`.
--- a/src/protocol/submission.cpp
+++ b/src/protocol/submission.cpp
@@ -1,6 +1,7 @@
 #include "protocol/submission.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 #include "constants.hpp"
@@ -24,9 +25,11 @@
   return text;
 }
 
+constexpr const char* kind_words[] = {"sweep", "standing", "gang"};
+
 JobKind parse_kind(const std::string& word) {
-  if (word == "sweep") return JobKind::array;
-  if (word == "standing") return JobKind::service;
+  for (std::size_t i = 0; i < std::size(kind_words); ++i)
+    if (word == kind_words[i]) return static_cast<JobKind>(i);
   throw DecodeError("shape is unknown");
 }
 
@@ -96,7 +99,7 @@
   Json out = {{"id", job.id},
               {"lane", job.job_class},
               {"crew", job.team},
-              {"shape", job.kind == JobKind::array ? "sweep" : "standing"},
+              {"shape", kind_words[static_cast<std::size_t>(job.kind)]},
               {"rank", priority_words[static_cast<int>(job.priority)]},
               {"pieces", job.tasks},
               {"cores", static_cast<double>(job.each.cpus) / 1000},
--- a/src/protocol/submission.hpp
+++ b/src/protocol/submission.hpp
@@ -31,7 +31,8 @@
   std::int64_t times_in(const Resources& room) const;
 };
 
-enum class JobKind : std::uint8_t { array, service };
+// A gang is an array whose tasks run at the same time or not at all.
+enum class JobKind : std::uint8_t { array, service, gang };
 enum class Priority : std::uint8_t { low, normal, high, production };
 enum class JobState : std::uint8_t { queued, running, done, cancelled };
 
--- a/src/protocol/worker_messages.cpp
+++ b/src/protocol/worker_messages.cpp
@@ -12,6 +12,7 @@
 
 TaskState parse_state(const std::string& word) {
   static const std::map<std::string, TaskState> words = {{"pulling", TaskState::fetching},
+                                                         {"waiting", TaskState::waiting},
                                                          {"running", TaskState::running},
                                                          {"saving", TaskState::saving},
                                                          {"exited", TaskState::exited}};
@@ -22,9 +23,10 @@
 
 ExitCause parse_cause(const std::string& word) {
   static const std::map<std::string, ExitCause> words = {
-      {"done", ExitCause::done},   {"halted", ExitCause::stopped},
-      {"error", ExitCause::error}, {"no_room", ExitCause::no_room},
-      {"busy", ExitCause::busy},   {"unknown", ExitCause::unknown}};
+      {"done", ExitCause::done},       {"halted", ExitCause::stopped},
+      {"error", ExitCause::error},     {"no_room", ExitCause::no_room},
+      {"busy", ExitCause::busy},       {"unknown", ExitCause::unknown},
+      {"peers", ExitCause::peer_lost}, {"alone", ExitCause::gang_incomplete}};
   const auto it = words.find(word);
   return it == words.end() ? ExitCause::error : it->second;
 }
@@ -59,8 +61,9 @@
 }  // namespace
 
 const char* cause_word(ExitCause cause) {
-  static constexpr const char* words[] = {"none",    "done", "stopped", "error",
-                                          "no_room", "busy", "unknown"};
+  static constexpr const char* words[] = {"none",    "done",      "stopped",
+                                          "error",   "no_room",   "busy",
+                                          "unknown", "peer lost", "gang incomplete"};
   return words[static_cast<std::size_t>(cause)];
 }
 
--- a/src/protocol/worker_messages.hpp
+++ b/src/protocol/worker_messages.hpp
@@ -8,8 +8,24 @@
 
 namespace poppystile::protocol {
 
-enum class TaskState : std::uint8_t { fetching, running, saving, exited };
-enum class ExitCause : std::uint8_t { none, done, stopped, error, no_room, busy, unknown };
+enum class TaskState : std::uint8_t {
+  fetching,
+  waiting,  // has its image, waits for the other tasks of its gang
+  running,
+  saving,
+  exited
+};
+enum class ExitCause : std::uint8_t {
+  none,
+  done,
+  stopped,
+  error,
+  no_room,
+  busy,
+  unknown,
+  peer_lost,       // another task of its gang is gone
+  gang_incomplete  // its gang was not complete in time
+};
 // For logs.
 const char* cause_word(ExitCause cause);
 
