--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -96,6 +96,30 @@
   EXPECT_EQ(parsed.tasks[1].cause, protocol::ExitCause::done);
 }
 
+TEST(Report, TellsTheStatesOfAGangsTasks) {
+  Json body = Json::parse(report);
+  const Json exited = {{"piece", "req-1/0"}, {"try", 1}, {"stage", "exited"}};
+  body["pieces"] = Json::array({{{"piece", "req-1/3"}, {"try", 2}, {"stage", "waiting"}},
+                                {{"piece", "req-1/4"}, {"try", 2}, {"stage", "pondering"}},
+                                exited,
+                                exited});
+  body["pieces"][2]["cause"] = "peers";
+  body["pieces"][3]["cause"] = "alone";
+  const auto tasks = protocol::parse_report(body.dump()).tasks;
+  EXPECT_EQ(tasks[0].state, protocol::TaskState::waiting);
+  EXPECT_EQ(tasks[1].state, protocol::TaskState::running);  // unknown: it occupies its machine
+  EXPECT_EQ(tasks[2].cause, protocol::ExitCause::peer_lost);
+  EXPECT_EQ(tasks[3].cause, protocol::ExitCause::gang_incomplete);
+}
+
+TEST(Submission, AGangRoundTrips) {
+  Json body = Json::parse(submission);
+  body["shape"] = "gang";
+  const auto job = protocol::parse_submission(body);
+  EXPECT_EQ(job.kind, protocol::JobKind::gang);
+  EXPECT_EQ(protocol::encode_submission(job).at("shape"), "gang");
+}
+
 TEST(Commands, FollowTheProtocolsForm) {
   const std::string body =
       protocol::encode_commands(41, {{protocol::Command::Op::start, "req-000412", 4, 2, 0},
--- /dev/null
+++ b/tests/unit/gang_test.cpp
@@ -0,0 +1,216 @@
+/// \file
+/// Gangs: whole assignments by the planner, and what one task's state means for the others.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "coordination/gang_tracker.hpp"
+#include "planning/planner.hpp"
+#include "unit/planning_samples.hpp"
+
+namespace poppystile {
+namespace {
+
+using bookkeeping::GangAttempt;
+using bookkeeping::Job;
+using bookkeeping::Machine;
+using bookkeeping::Model;
+using coordination::GangTracker;
+using planning::add;
+using planning::spec;
+using protocol::JobKind;
+using protocol::Priority;
+
+class GangTest : public testing::Test {
+ protected:
+  GangTest() {
+    context.teams = &teams;
+    context.finish_aims = &aims;
+    context.gang_wait_s = 40;
+  }
+  Job& add_gang(const std::string& id, std::uint32_t tasks) {
+    auto job = spec(id, JobKind::gang, tasks, Priority::normal);
+    job.one_zone = true;
+    job.checkpoint_s = 10;
+    job.save_s = 3;
+    add(model, job);
+    return model.jobs.at(id);
+  }
+  planning::Plan plan() { return planning::make_plan(model, context); }
+  // Carries out what a plan has placed.
+  void apply(const planning::Plan& made, std::uint64_t attempt) {
+    for (const auto& each : made.placements) {
+      Job& job = model.jobs.at(each.job);
+      if (job.is_gang()) GangTracker::on_placed(job, attempt, context.now_s);
+      model.place(model.machines.at(each.machine), job, attempt, context.now_s);
+    }
+  }
+  std::size_t stopping() const {
+    std::size_t count = 0;
+    for (const auto& [id, machine] : model.machines)
+      count += static_cast<std::size_t>(
+          std::count_if(machine.placements.begin(), machine.placements.end(),
+                        [](const auto& each) { return each.stopping; }));
+    return count;
+  }
+
+  Model model;
+  std::vector<protocol::TeamSettings> teams = {{"ops", 0, 0, 0, 0}};
+  std::vector<protocol::FinishAim> aims;
+  planning::PlanningContext context;
+  protocol::Settings settings;
+};
+
+TEST_F(GangTest, IsPlacedWholeInOneZoneOrNotAtAll) {
+  add(model, "a1", 8);
+  add(model, "b1", 8);
+  add_gang("req-1", 6);
+  EXPECT_TRUE(plan().placements.empty());  // 4 fit in each zone
+  add(model, "b2", 8);
+  const auto made = plan();
+  ASSERT_EQ(made.placements.size(), 6u);
+  for (const auto& each : made.placements) EXPECT_EQ(each.machine[0], 'b');
+}
+
+TEST_F(GangTest, TheZoneWhoseLastImageComesSoonestWins) {
+  add(model, "a1", 8).touch_image("img", 1);
+  add(model, "a2", 8);
+  add(model, "b1", 8).touch_image("img", 1);
+  add(model, "b2", 8).touch_image("img", 1);
+  add_gang("req-1", 6);
+  const auto made = plan();
+  ASSERT_EQ(made.placements.size(), 6u);
+  for (const auto& each : made.placements) EXPECT_EQ(each.machine[0], 'b');
+}
+
+// Given half of the room each, both would wait for the other for ever.
+TEST_F(GangTest, TwoGangsThatFitOnlyOneAtATimeDoNotShareTheRoom) {
+  add(model, "a1", 16);
+  add_gang("req-1", 6);
+  add_gang("req-2", 6);
+  const auto made = plan();
+  ASSERT_EQ(made.placements.size(), 6u);
+  for (const auto& each : made.placements) EXPECT_EQ(each.job, made.placements[0].job);
+}
+
+TEST_F(GangTest, SpreadKeepsHalfElsewhere) {
+  add(model, "a1", 32);
+  add(model, "b1", 32);
+  Job& gang = add_gang("req-1", 5);
+  gang.record.spec.one_zone = false;
+  gang.record.spec.spread = true;
+  const auto made = plan();
+  ASSERT_EQ(made.placements.size(), 5u);
+  EXPECT_EQ(std::count_if(made.placements.begin(), made.placements.end(),
+                          [](const auto& each) { return each.machine == "a1"; }),
+            3);
+}
+
+TEST_F(GangTest, TheTeamsLimitHoldsForAllTasksTogether) {
+  teams = {{"ops", 0, 10, 0, 0}};
+  add(model, "a1", 32);
+  add_gang("req-1", 6);
+  EXPECT_TRUE(plan().placements.empty());
+  teams = {{"ops", 0, 12, 0, 0}};
+  EXPECT_EQ(plan().placements.size(), 6u);
+}
+
+TEST_F(GangTest, FreeingRoomIsKeptForAGangFromSingleTasks) {
+  add(model, "a1", 8);
+  add(model, "a2", 8);
+  Job& gang = add_gang("req-1", 6);
+  add(model, spec("req-2", JobKind::array, 50, Priority::normal));
+  add(model, spec("req-9", JobKind::array, 4, Priority::normal));
+  for (int i = 0; i < 4; ++i) model.place(model.machines.at("a1"), model.jobs.at("req-9"), 1, 0);
+  EXPECT_TRUE(plan().placements.empty());
+  // Not for ever.
+  gang.record.accepted_wall_s = -50;
+  EXPECT_FALSE(plan().placements.empty());
+}
+
+TEST_F(GangTest, ALostTaskIsReplacedUnderTheSameAttemptElsewhere) {
+  for (const char* id : {"a1", "a2", "a3"}) add(model, id, 4).heard_s = 5;
+  Job& gang = add_gang("req-1", 4);
+  apply(plan(), 77);
+  ASSERT_EQ(gang.placements.size(), 4u);
+  const std::uint32_t index = gang.placements.begin()->first;
+  Machine& left = *gang.placements.begin()->second;
+  for (auto& each : left.placements)
+    if (each.index == index) model.vacate(left, each);
+  gang.requeue(index);
+  context.now_s = 6;
+  GangTracker::on_task_lost(gang, left.id, 6);
+  EXPECT_TRUE(plan().placements.empty());  // the others have not been heard since
+  for (auto& [id, machine] : model.machines) machine.heard_s = 7;
+  const auto made = plan();
+  ASSERT_EQ(made.placements.size(), 1u);
+  EXPECT_NE(made.placements[0].machine, left.id);
+  apply(made, 78);
+  EXPECT_EQ(gang.gang.number, 77u);
+  // Once it has begun nothing is replaced any more, and the rest is stopped.
+  GangTracker::on_reported(gang, protocol::TaskState::running);
+  GangTracker::on_task_lost(gang, left.id, 8);
+  EXPECT_EQ(gang.gang.phase, GangAttempt::Phase::ending);
+  EXPECT_EQ(stopping(), 4u);
+  EXPECT_EQ(gang.to_try(), 0u);
+}
+
+TEST_F(GangTest, AnAttemptThatIsNotCompletedInTimeIsGivenUp) {
+  add(model, "a1", 8);
+  Job& gang = add_gang("req-1", 4);
+  apply(plan(), 77);
+  settings.gang_times = protocol::GangTimes{40, 6};
+  const GangTracker tracker(settings);
+  gang.requeue(0);
+  tracker.check_assembly(gang, 10);
+  EXPECT_EQ(gang.gang.phase, GangAttempt::Phase::assembling);
+  tracker.check_assembly(gang, 17);
+  EXPECT_EQ(gang.gang.phase, GangAttempt::Phase::ending);
+}
+
+TEST_F(GangTest, WhatAFormerLeaderNamedInPartIsGivenUp) {
+  Machine& machine = add(model, "a1", 16);
+  Job& whole = add_gang("req-1", 2);
+  Job& part = add_gang("req-2", 3);
+  Job& mixed = add_gang("req-3", 2);
+  for (std::uint32_t i = 0; i < 2; ++i) model.restore(machine, whole, i, 7, 0);
+  for (std::uint32_t i = 0; i < 2; ++i) model.restore(machine, part, i, 8, 0);
+  for (std::uint32_t i = 0; i < 2; ++i) model.restore(machine, mixed, i, 9 + i, 0);
+  for (Job* job : {&whole, &part, &mixed}) GangTracker::on_restored(*job, 0);
+  EXPECT_EQ(whole.gang.phase, GangAttempt::Phase::assembling);
+  EXPECT_EQ(whole.gang.number, 7u);
+  EXPECT_EQ(part.gang.phase, GangAttempt::Phase::ending);
+  EXPECT_EQ(mixed.gang.phase, GangAttempt::Phase::ending);
+}
+
+// Stopping one task of a gang loses all of them: several single tasks go first.
+TEST_F(GangTest, SingleTasksArePreemptedBeforeAGang) {
+  Machine& machine = add(model, "a1", 8);
+  Job& gang = add_gang("req-1", 2);
+  Job& array = [&]() -> Job& {
+    add(model, spec("req-2", JobKind::array, 2, Priority::normal));
+    return model.jobs.at("req-2");
+  }();
+  for (std::uint32_t i = 0; i < 2; ++i) model.restore(machine, array, i, 1, 0);
+  for (std::uint32_t i = 0; i < 2; ++i) model.restore(machine, gang, i, 2, 9);
+  GangTracker::on_restored(gang, 9);
+  add(model, spec("req-3", JobKind::service, 1, Priority::production));
+  const auto made = plan();
+  ASSERT_EQ(made.stops.size(), 1u);
+  EXPECT_EQ(made.stops[0].job, "req-2");
+}
+
+TEST_F(GangTest, AGangMakesRoomForAllItsTasksOrStopsNobody) {
+  Machine& machine = add(model, "a1", 8);
+  add(model, spec("req-2", JobKind::array, 4, Priority::low));
+  for (std::uint32_t i = 0; i < 4; ++i) model.restore(machine, model.jobs.at("req-2"), i, 1, 0);
+  Job& gang = add_gang("req-1", 5);
+  EXPECT_TRUE(plan().stops.empty());
+  gang.record.spec.tasks = 3;
+  gang.phases.resize(3);
+  EXPECT_EQ(plan().stops.size(), 3u);
+}
+
+}  // namespace
+}  // namespace poppystile
--- a/tests/unit/job_api_test.cpp
+++ b/tests/unit/job_api_test.cpp
@@ -17,6 +17,7 @@
     settings.state_limits.rps = 250;
     settings.state_limits.write_rps = 40;
     settings.state_limits.txn_ops = 32;
+    settings.gang_times = protocol::GangTimes{40, 6};
     settings.teams = {{"vision", 8, 40, 0, 2}, {"free", 0, 0, 0, 0}};
     const std::vector<protocol::MachineType> types = {
         {"g8", {32000, 8000, 64000}, 50, 1, 1.0, 0.3, 20, {"a", "b"}},
@@ -57,6 +58,12 @@
   };
   const Case cases[] = {
       {"unknown team", {{"crew", "nobody"}}, 422},
+      {"a gang over the team's CPUs",
+       {{"shape", "gang"}, {"pieces", 6}, {"cores", 8}, {"gpus", 0}},
+       422},
+      {"a gang over the team's GPUs",
+       {{"shape", "gang"}, {"pieces", 3}, {"cores", 1}, {"gpus", 1}},
+       422},
       {"too many cores for any type", {{"cores", 33}}, 422},
       {"too much memory for any type", {{"ram_gb", 65}}, 422},
       {"too many gpus for any type", {{"gpus", 9}}, 422},
@@ -92,6 +99,8 @@
       {{"id", "req-000002"}, {"cores", 32}, {"ram_gb", 64}, {"gpus", 2}},
       {{"id", "req-000003"}, {"crew", "free"}, {"gpus", 8}},
       {{"id", "req-000004"}, {"builds", {"c4", "g8", "x9"}}, {"yard", "a"}, {"pieces", 100000}},
+      {{"id", "req-000006"}, {"shape", "gang"}, {"pieces", 5}, {"cores", 8}, {"gpus", 0}},
+      {{"id", "req-000007"}, {"shape", "gang"}, {"crew", "free"}, {"pieces", 100}},
       {{"id", "req-000005"}, {"shape", "standing"}, {"pieces", 2}, {"guess_s", 0}}};
   for (const auto& fields : good) {
     Json body = job();
@@ -103,6 +112,14 @@
   }
 }
 
+TEST_F(JobApiTest, WithoutTheWorkersTimesNoGangIsTaken) {
+  settings.gang_times.reset();
+  Json body = job();
+  body["shape"] = "gang";
+  body["crew"] = "free";
+  EXPECT_EQ(submit(body).status, 422);
+}
+
 TEST_F(JobApiTest, WhatCannotBeStoredUnderTheLimitIsRefusedAtOnce) {
   settings.state_limits.value_kb = 0.25;
   EXPECT_EQ(submit(job()).status, 422);
--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -84,8 +84,10 @@
     return false;
   const auto limit = limits_.find(spec.team);
   const auto used = team_cpus_.find(spec.team);
+  const std::int64_t needed =
+      spec.each.cpus * (spec.kind == protocol::JobKind::gang ? spec.tasks : 1);
   return limit == limits_.end() || limit->second == 0 ||
-         (used == team_cpus_.end() ? 0 : used->second) + spec.each.cpus <= limit->second;
+         (used == team_cpus_.end() ? 0 : used->second) + needed <= limit->second;
 }
 
 void Rules::waits(const std::string& id, const std::string& beside) {
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -32,6 +32,12 @@
   return protocol::Priority::normal;
 }
 
+protocol::JobKind kind_of(const std::string& word) {
+  if (word == "service") return protocol::JobKind::service;
+  if (word == "gang") return protocol::JobKind::gang;
+  return protocol::JobKind::array;
+}
+
 Cut cut_of(const Statement& statement) {
   Cut cut;
   for (const auto& each : split(statement.text("what", "state"), ',')) {
@@ -104,6 +110,7 @@
                        statement.number("next_value_kb", 2), statement.count("next_txn_ops", 8)};
   out.lose_answers = statement.number("lose_answers", 0);
   out.list_lag_s = statement.number("list_lag_s", 3);
+  out.gang_times = {statement.number("gang_wait_s", 40), statement.number("gang_peer_s", 6)};
 }
 
 void Scenario::add_type(const Statement& statement) {
@@ -150,8 +157,7 @@
   job.id = id;
   job.job_class = load.words.at(1);
   job.team = load.text("team", "ops");
-  job.kind = load.text("kind", "array") == "service" ? protocol::JobKind::service
-                                                     : protocol::JobKind::array;
+  job.kind = kind_of(load.text("kind", "array"));
   job.priority = priority_of(load.text("priority", "normal"));
   job.tasks = static_cast<std::uint32_t>(pick(queue, load.text("tasks", "1")));
   job.each = {static_cast<std::int64_t>(load.number("cpus", 2) * 1000), 0,
@@ -164,6 +170,8 @@
   job.image = job.job_class + "-" + std::to_string(static_cast<int>(queue.uniform(0, images)));
   job.image_gb = load.number("gb", 2);
   job.estimate_s = job.kind == protocol::JobKind::service ? 0 : pick(queue, load.text("run", "15"));
+  job.checkpoint_s = load.number("checkpoint", 0);
+  job.save_s = load.number("save", 0);
   if (load.values.contains("deadline")) job.deadline_s = load.number("deadline", 60);
   return job;
 }
@@ -355,6 +363,9 @@
   static const auto of_world = [](auto count) {
     return [count](Scenario& self) { return static_cast<double>((*self.world_.*count)()); };
   };
+  static const auto of_gangs = [](auto count) {
+    return [count](Scenario& self) { return static_cast<double>((self.world_->gangs().*count)()); };
+  };
   static const std::map<std::string, Count> all = {
       {"started", of_rules(&Rules::starts)},
       {"accepted", of_rules(&Rules::accepted_jobs)},
@@ -363,6 +374,10 @@
       {"mistaken_starts", of_rules(&Rules::mistaken_starts)},
       {"cancelled_starts", of_rules(&Rules::cancelled_starts)},
       {"state_refused", of_world(&World::state_refused)},
+      {"gangs_begun", of_gangs(&Gangs::begun)},
+      {"gangs_saved", of_gangs(&Gangs::saved)},
+      {"gangs_failed", of_gangs(&Gangs::failed)},
+      {"gangs_incomplete", of_gangs(&Gangs::incomplete)},
       {"state_invalid", of_world(&World::state_invalid)},
       {"state_requests", of_world(&World::state_requests)},
       {"state_changes", of_world(&World::state_changes)},
--- a/tests/world/scenario.hpp
+++ b/tests/world/scenario.hpp
@@ -3,17 +3,19 @@
 ///
 ///   world KEY=VALUE...            seed, seeds (how many, one after the other), until, nodes,
 ///                                 report_s, lease_s, cancel_s, rps, write_rps, txn_ops,
-///                                 lose_answers, list_lag_s; next_value_kb, next_txn_ops and
+///                                 lose_answers, list_lag_s; gang_wait_s, gang_peer_s,
+///                                 next_value_kb, next_txn_ops and
 ///                                 next_write_rps: limits that `lower_limits` puts into force
 ///   type NAME KEY=VALUE...        cpus, memory, price, spot_price, boot, zones, count, spot,
 ///                                 fetch, cache
 ///   team NAME cpus= cpus_max=
 ///   load CLASS KEY=VALUE...       kind, team, priority, first, every, until, tasks, run, cpus,
 ///                                 memory, images, gb, spot, one_zone, spread, zone, deadline,
-///                                 mistaken
+///                                 checkpoint, save, mistaken
 ///   at SECONDS ACTION KEY=VALUE...    times=N every=SECONDS: more than once
 ///   expect NAME OP NUMBER         started, accepted, done, cancelled, on:CLASS, state_refused,
 ///                                 state_requests, state_changes, state_invalid, lapses,
+///                                 gangs_begun, gangs_saved, gangs_failed, gangs_incomplete,
 ///                                 stale_releases, unheard_starts, cancelled_starts,
 ///                                 mistaken_starts, machine_seconds; OP is >= or <=
 ///
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -15,11 +15,12 @@
 constexpr double lease_look_s = 0.1;     // how often the lease is looked at
 }  // namespace
 
-Worker::Worker(EventQueue& queue, Rules& rules, const Place& place,
+Worker::Worker(EventQueue& queue, Rules& rules, Gangs& gangs, const Place& place,
                const protocol::MachineType& type, const WorkerTimes& times,
                std::vector<std::string> nodes, Send send)
     : queue_(queue),
       rules_(rules),
+      gangs_(gangs),
       place_(place),
       type_(type),
       times_(times),
@@ -35,10 +36,15 @@
 
 void Worker::stop() {
   alive_ = false;
-  for (auto& each : tasks_) rules_.off_machine(each.job, each.index, place_.machine);
+  for (const auto& each : tasks_) remove(each);
   tasks_.clear();
 }
 
+void Worker::remove(const Task& task) {
+  rules_.off_machine(task.job, task.index, place_.machine);
+  if (is_gang(task)) gangs_.leave(task.job, task.attempt, task.index);
+}
+
 void Worker::hang(double for_s) {
   hung_until_ = queue_.now() + for_s;
   excuse(for_s);
@@ -54,11 +60,12 @@
   excuse(for_s);
 }
 
-bool Worker::could_run(const protocol::JobSpec& spec) const {
+std::int64_t Worker::tasks_that_fit(const protocol::JobSpec& spec) const {
   const bool allowed = (!place_.spot || spec.spot) && (!spec.zone || *spec.zone == place_.zone) &&
                        (!spec.types || std::find(spec.types->begin(), spec.types->end(),
                                                  place_.type) != spec.types->end());
-  return alive_ && !hanging() && !sick_ && notice_at_ < 0 && allowed && room_for(spec);
+  if (!alive_ || hanging() || sick_ || notice_at_ >= 0 || !allowed) return 0;
+  return spec.each.times_in(room());
 }
 
 void Worker::notice(double in_s) {
@@ -75,7 +82,7 @@
 
 void Worker::kill_all() {
   if (queue_.now() > excused_until_) ++lapses_;
-  for (auto& each : tasks_) rules_.off_machine(each.job, each.index, place_.machine);
+  for (const auto& each : tasks_) remove(each);
   tasks_.clear();
   ++session_;
   lease_from_ = queue_.now();
@@ -103,6 +110,7 @@
                   {"try", each.attempt},
                   {"stage", each.stage}};
     if (each.stage == "exited") piece["cause"] = each.cause;
+    if (each.stored) piece["stored"] = true;
     pieces.push_back(piece);
   }
   Json out = {{"stile", place_.machine}, {"addr", "10.1.0.1:9000"}, {"build", place_.type},
@@ -170,7 +178,11 @@
   protocol::split_task_name(name, job, index);
   for (auto& each : tasks_) {
     if (each.job != job || each.index != index || each.attempt != attempt) continue;
-    if (verb == "stop" && each.stage != "exited") leave(each, "halted");
+    if (verb == "stop" && each.stage != "exited") {
+      if (is_gang(each) && each.stage != "pulling")
+        return gangs_.stop(job, attempt, index, order.at("wind_down_s").get<double>());
+      leave(each, "halted");
+    }
     if (verb == "reap" && each.stage == "exited") {
       std::erase_if(tasks_, [&](const Task& task) {
         return task.job == job && task.index == index && task.attempt == attempt;
@@ -180,11 +192,11 @@
   }
 }
 
-bool Worker::room_for(const protocol::JobSpec& spec) const {
-  protocol::Resources used = spec.each;
+protocol::Resources Worker::room() const {
+  protocol::Resources free = type_.size;
   for (const auto& each : tasks_)
-    if (each.stage != "exited") used += rules_.job(each.job)->each;
-  return used.fits(type_.size);
+    if (each.stage != "exited") free -= rules_.job(each.job)->each;
+  return free;
 }
 
 void Worker::start_task(const std::string& name, std::uint64_t attempt) {
@@ -200,7 +212,7 @@
   }
   const protocol::JobSpec* spec = rules_.job(task.job);
   const std::string refused = spec == nullptr ? "unknown" : busy ? "busy" : "";
-  if (!refused.empty() || !room_for(*spec)) {
+  if (!refused.empty() || !spec->each.fits(room())) {
     task.stage = "exited";
     task.cause = refused.empty() ? "no_room" : refused;
     tasks_.push_back(task);
@@ -230,6 +242,11 @@
   if (hanging()) return queue_.at(hung_until_ + 0.01, [this, life] { image_there(life); });
   if (rules_.is_completed(task->job, task->index)) return leave(*task, "done");
   rules_.on_machine(task->job, task->index, place_);
+  if (is_gang(*task)) {
+    task->stage = "waiting";
+    gangs_.join(task->job, task->attempt, task->index, *this, life);
+    return changed();
+  }
   task->stage = "running";
   if (sick_ || rules_.is_mistaken(task->job)) {
     queue_.after(0.5, [this, life] { finish(life, "error"); });
@@ -240,6 +257,25 @@
   changed();
 }
 
+void Worker::begin_gang_task(std::uint64_t life) {
+  Task* task = by_life(life);
+  if (task == nullptr) return;
+  task->stage = "running";
+  if (sick_ || rules_.is_mistaken(task->job))
+    queue_.after(0.5, [this, life] { finish(life, "error"); });
+  changed();
+}
+
+void Worker::end_gang_task(std::uint64_t life, const std::string& cause, bool stored) {
+  Task* task = by_life(life);
+  if (!alive_ || task == nullptr) return;
+  if (hanging())
+    return queue_.at(hung_until_ + 0.01,
+                     [this, life, cause, stored] { end_gang_task(life, cause, stored); });
+  task->stored = stored;
+  leave(*task, cause);
+}
+
 void Worker::finish(std::uint64_t life, const std::string& cause) {
   Task* task = by_life(life);
   if (!alive_ || task == nullptr) return;
@@ -249,9 +285,9 @@
 }
 
 void Worker::leave(Task& task, const std::string& cause) {
-  rules_.off_machine(task.job, task.index, place_.machine);
   task.stage = "exited";
   task.cause = cause;
+  remove(task);
   changed();
 }
 
--- a/tests/world/worker.hpp
+++ b/tests/world/worker.hpp
@@ -10,6 +10,7 @@
 #include "protocol/json.hpp"
 #include "transport/http.hpp"
 #include "world/event_queue.hpp"
+#include "world/gangs.hpp"
 #include "world/rules.hpp"
 
 namespace poppystile::world {
@@ -19,14 +20,15 @@
   double lease_s = 10;
 };
 
-class Worker {
+class Worker : public GangHost {
  public:
   using Reply = std::function<void(transport::HttpResponse)>;
   // Sends a report to a node; the network decides what becomes of it.
   using Send = std::function<void(const std::string& node, const Worker& from, std::string body,
                                   Reply reply)>;
-  Worker(EventQueue& queue, Rules& rules, const Place& place, const protocol::MachineType& type,
-         const WorkerTimes& times, std::vector<std::string> nodes, Send send);
+  Worker(EventQueue& queue, Rules& rules, Gangs& gangs, const Place& place,
+         const protocol::MachineType& type, const WorkerTimes& times,
+         std::vector<std::string> nodes, Send send);
   void start();
   void stop();  // the machine is gone
   void hang(double for_s);
@@ -35,7 +37,9 @@
   const Place& place() const { return place_; }
   bool alive() const { return alive_; }
   // Whether it could run a task of this job now.
-  bool could_run(const protocol::JobSpec& spec) const;
+  bool could_run(const protocol::JobSpec& spec) const { return tasks_that_fit(spec) > 0; }
+  // How many tasks of this job it could run now.
+  std::int64_t tasks_that_fit(const protocol::JobSpec& spec) const;
   // It reaches no controller.
   void mute(double for_s);
   // Leases that ended though the machine neither hung nor was excused.
@@ -48,11 +52,21 @@
     std::string job;
     std::uint32_t index = 0;
     std::uint64_t attempt = 0;
-    std::string stage;  // pulling, running, exited
+    std::string stage;  // pulling, waiting, running, exited
     std::string cause;
+    bool stored = false;
     std::uint64_t life = 0;  // tells whether a timer still concerns it
   };
 
+  // Of a gang's task, called by `Gangs`.
+  void begin_gang_task(std::uint64_t life) override;
+  void end_gang_task(std::uint64_t life, const std::string& cause, bool stored) override;
+  bool is_hanging() const override { return hanging(); }
+  bool is_gang(const Task& task) const {
+    return rules_.job(task.job) != nullptr && rules_.job(task.job)->kind == protocol::JobKind::gang;
+  }
+  void remove(const Task& task);
+
   bool hanging() const { return queue_.now() < hung_until_; }
   void report_soon(double delay);
   void report();
@@ -67,12 +81,13 @@
   void leave(Task& task, const std::string& cause);
   void watch_lease();
   void kill_all();
-  bool room_for(const protocol::JobSpec& spec) const;
+  protocol::Resources room() const;
   std::string body();
   void changed();
 
   EventQueue& queue_;
   Rules& rules_;
+  Gangs& gangs_;
   Place place_;
   protocol::MachineType type_;
   WorkerTimes times_;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -153,7 +153,10 @@
 };
 
 World::World(const WorldSettings& settings)
-    : settings_(settings), queue_(settings.seed), rules_(queue_, settings.cancel_s) {
+    : settings_(settings),
+      queue_(settings.seed),
+      rules_(queue_, settings.cancel_s),
+      gangs_(queue_, rules_, settings.gang_times) {
   state_ = std::make_unique<StateService>(queue_, settings.state_rps, settings.state_write_rps,
                                           settings.txn_ops);
   cloud_ = std::make_unique<Cloud>(queue_, settings.list_lag_s);
@@ -164,7 +167,7 @@
   for (int i = 0; i < settings.nodes; ++i) names.push_back("stile-" + std::to_string(i));
   cloud_->on_up = [this, names](const Rented& rented, const protocol::MachineType& type) {
     auto worker = std::make_unique<Worker>(
-        queue_, rules_, Place{rented.id, rented.type, rented.zone, rented.spot}, type,
+        queue_, rules_, gangs_, Place{rented.id, rented.type, rented.zone, rented.spot}, type,
         WorkerTimes{settings_.report_s, settings_.lease_s}, names,
         [this](const std::string& node, const Worker& from, const std::string& body,
                const Worker::Reply& reply) { send_report(node, from, body, reply); });
@@ -203,6 +206,7 @@
   s.report_s = settings_.report_s;
   s.lease_s = settings_.lease_s;
   s.cancel_s = settings_.cancel_s;
+  s.gang_times = protocol::GangTimes{settings_.gang_times.wait_s, settings_.gang_times.peer_s};
   s.state_limits.rps = settings_.state_rps;
   s.state_limits.write_rps = settings_.state_write_rps;
   s.state_limits.txn_ops = settings_.txn_ops;
@@ -599,13 +603,20 @@
 
 void World::look_for_waiting_jobs() {
   queue_.after(waiting_look_s, [this] { look_for_waiting_jobs(); });
-  for (const auto& id : rules_.accepted()) {
-    const auto roomy = std::find_if(workers_.begin(), workers_.end(), [&](const auto& each) {
-      return each.second->could_run(*rules_.job(id));
-    });
-    const bool waits = roomy != workers_.end() && rules_.waits_within_limit(id);
-    rules_.waits(id, waits ? roomy->first : "");
+  for (const auto& id : rules_.accepted())
+    rules_.waits(id, rules_.waits_within_limit(id) ? waits_beside(id) : "");
+}
+
+std::string World::waits_beside(const std::string& id) const {
+  const protocol::JobSpec& spec = *rules_.job(id);
+  const std::int64_t needed = spec.kind == protocol::JobKind::gang ? spec.tasks : 1;
+  std::map<std::string, std::int64_t> room;  // by zone, where it must be one
+  for (const auto& [machine, worker] : workers_) {
+    auto& tasks = room[spec.one_zone ? worker->place().zone : ""];
+    tasks += worker->tasks_that_fit(spec);
+    if (tasks >= needed) return machine;
   }
+  return "";
 }
 
 void World::sweep() {
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -11,6 +11,7 @@
 #include "coordination/node.hpp"
 #include "world/cloud.hpp"
 #include "world/event_queue.hpp"
+#include "world/gangs.hpp"
 #include "world/rules.hpp"
 #include "world/state_service.hpp"
 #include "world/worker.hpp"
@@ -27,6 +28,7 @@
   std::optional<protocol::StateLimits> next_limits;
   double list_lag_s = 3;
   double lose_answers = 0;  // share of the state service's answers that never arrive
+  GangTiming gang_times;
   std::vector<std::string> zones = {"a", "b"};
   std::vector<protocol::TeamSettings> teams;
 };
@@ -47,6 +49,7 @@
   EventQueue& queue() { return queue_; }
   Cloud& cloud() { return *cloud_; }
   Rules& rules() { return rules_; }
+  Gangs& gangs() { return gangs_; }
   void start();
 
   // Users.
@@ -129,6 +132,8 @@
   std::vector<Worker*> some_workers(int count);
   void sweep();
   void look_for_waiting_jobs();
+  // A machine beside which the job waits with room for it; empty when there is none.
+  std::string waits_beside(const std::string& id) const;
   void odd_request(int turn);
   // Spells of the same kind must not overlap, or touch: the end of one would undo the next.
   void set_for(double& knob, double value, double for_s);
@@ -136,6 +141,7 @@
   WorldSettings settings_;
   EventQueue queue_;
   Rules rules_;
+  Gangs gangs_;
   std::unique_ptr<StateService> state_;
   std::unique_ptr<Cloud> cloud_;
   std::vector<std::unique_ptr<Controller>> controllers_;
