--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -486,7 +486,8 @@
   if (placement.phase == PlacementPhase::exited) return;
   Job* job = model_.job(placement.job);
   if (seen.state == TaskState::exited) return exited(machine, placement, seen.cause);
-  if (job != nullptr && job->is_gang()) GangTracker::on_reported(*job, seen.state);
+  if (job != nullptr && job->is_gang())
+    GangTracker::on_reported(*job, seen.state, runtime_.now_s());
   const PlacementPhase phase = phase_of(seen.state);
   if (phase == placement.phase) {
     // It has run for longer than it ever did before it failed.
@@ -736,7 +737,8 @@
   context.now_wall_s = runtime_.wall_s();
   context.finish_aims = &settings_.finish_aims;
   if (settings_.gang_times) context.gang_wait_s = settings_.gang_times->wait_s;
-  const planning::Plan made = planning::make_plan(model_, context);
+  planning::Plan made = planning::make_plan(model_, context);
+  log_waiting_gangs(std::move(made.waiting_gangs));
   apply_placements(made.placements, began);
   for (const auto& each : made.stops) {
     Placement* placement =
@@ -753,6 +755,15 @@
   plan_at_s_ = ended + std::max(constants::plan_gap_s, (ended - began) * constants::plan_rest);
 }
 
+void Dispatcher::log_waiting_gangs(std::map<std::string, planning::GangWait> waits) {
+  for (const auto& [id, why] : waits) {
+    const auto before = waiting_gangs_.find(id);
+    if (before == waiting_gangs_.end() || before->second != why)
+      spdlog::info("gang waits id={} why=\"{}\"", id, planning::wait_text(why));
+  }
+  waiting_gangs_ = std::move(waits);
+}
+
 void Dispatcher::apply_placements(const std::vector<planning::PlannedPlacement>& placements,
                                   double now_s) {
   const std::uint64_t plan_attempt = next_attempt();
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -97,6 +97,8 @@
   void watch_leases();
   void move_replicas();
   void plan();
+  // Logs each gang's reason once.
+  void log_waiting_gangs(std::map<std::string, planning::GangWait> waits);
   void apply_placements(const std::vector<planning::PlannedPlacement>& placements, double now_s);
   void close_jobs();
   static protocol::JobState final_state(const bookkeeping::Job& job);
@@ -112,6 +114,7 @@
   const protocol::Settings& settings_;
   const protocol::Properties& properties_;
   GangTracker gangs_;
+  std::map<std::string, planning::GangWait> waiting_gangs_;  // of the newest plan
   bookkeeping::Model model_;
   std::uint64_t term_ = 0;  // counts takeovers, to drop what belongs to an earlier one
   bool ready_ = false;
--- a/src/coordination/gang_tracker.cpp
+++ b/src/coordination/gang_tracker.cpp
@@ -30,9 +30,12 @@
   if (attempts.size() > 1 || gang.waiting() > 0) abandon(gang);
 }
 
-void GangTracker::on_reported(Job& gang, TaskState state) {
+void GangTracker::on_reported(Job& gang, TaskState state, double now_s) {
   const bool begun = state == TaskState::running || state == TaskState::saving;
-  if (begun && gang.gang.phase == Phase::assembling) gang.gang.phase = Phase::running;
+  if (!begun || gang.gang.phase != Phase::assembling) return;
+  gang.gang.phase = Phase::running;
+  spdlog::info("gang begins id={} attempt={} after_s={:.1f}", gang.spec().id, gang.gang.number,
+               now_s - gang.gang.placed_s);
 }
 
 void GangTracker::on_task_lost(Job& gang, const std::string& machine, double now_s) {
--- a/src/coordination/gang_tracker.hpp
+++ b/src/coordination/gang_tracker.hpp
@@ -25,7 +25,7 @@
   /// Derives the attempt from the placements that a former leader left. One that is named only in
   /// part is given up.
   static void on_restored(bookkeeping::Job& gang, double now_s);
-  static void on_reported(bookkeeping::Job& gang, protocol::TaskState state);
+  static void on_reported(bookkeeping::Job& gang, protocol::TaskState state, double now_s);
   /// A task was proven to be off the machine without having completed; it is requeued already.
   static void on_task_lost(bookkeeping::Job& gang, const std::string& machine, double now_s);
 
--- a/src/planning/gang_placement.cpp
+++ b/src/planning/gang_placement.cpp
@@ -33,9 +33,12 @@
   if (place_whole(job)) return;
   // A replacement must not wait for others' work to be stopped: the attempt would run out of time.
   if (!job.placements.empty()) return;
-  if (draft_.team_room(job.spec()) >= job.to_try())
+  const bool within_limit = draft_.team_room(job.spec()) >= job.to_try();
+  if (within_limit)
     for (const std::string& zone : zones_for(job.spec()))
-      if (preemption_.make_room_for_gang(job, zone)) return;
+      if (preemption_.make_room_for_gang(job, zone))
+        return draft_.note_waiting_gang(job.spec().id, GangWait::making_room);
+  draft_.note_waiting_gang(job.spec().id, within_limit ? GangWait::room : GangWait::team_limit);
   hold_room(job);
 }
 
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -61,6 +61,18 @@
 
 }  // namespace
 
+const char* wait_text(GangWait wait) {
+  switch (wait) {
+    case GangWait::team_limit:
+      return "team limit";
+    case GangWait::room:
+      return "no room for all tasks";
+    case GangWait::making_room:
+      return "room is being made";
+  }
+  return "";
+}
+
 Plan make_plan(const bookkeeping::Model& model, const PlanningContext& context) {
   JobOrder order(model, context);
   WaitingJobs waiting = waiting_jobs(model, order, context);
--- a/src/planning/planner.hpp
+++ b/src/planning/planner.hpp
@@ -3,6 +3,8 @@
 /// nothing.
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,10 +29,19 @@
   std::uint64_t attempt = 0;
 };
 
+/// Why a gang was not placed.
+enum class GangWait : std::uint8_t {
+  team_limit,   // all tasks together exceed what is left of it
+  room,         // too little room in every allowed zone, or wherever it may run
+  making_room,  // others were stopped for it, or room is about to be free
+};
+const char* wait_text(GangWait wait);
+
 /// What one planning pass decided, in the order in which it was decided.
 struct Plan {
   std::vector<PlannedPlacement> placements;
   std::vector<PlannedStop> stops;
+  std::map<std::string, GangWait> waiting_gangs;  // by job
 };
 
 /// What a plan depends on besides the model. The pointers must not be null.
--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -149,7 +149,7 @@
   apply(made, 78);
   EXPECT_EQ(gang.gang.number, 77u);
   // Once it has begun nothing is replaced any more, and the rest is stopped.
-  GangTracker::on_reported(gang, protocol::TaskState::running);
+  GangTracker::on_reported(gang, protocol::TaskState::running, 7);
   GangTracker::on_task_lost(gang, left.id, 8);
   EXPECT_EQ(gang.gang.phase, GangAttempt::Phase::ending);
   EXPECT_EQ(stopping(), 4u);
