--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -142,9 +142,14 @@
 inline constexpr std::size_t max_bitmap_chunk_tasks = 16'000;
 // bytes of values in one transaction; PROTOCOL's bound is 64 KiB with everything around them.
 inline constexpr std::size_t max_transaction_bytes = 48'000;
-// segments; the ring of keys that the journal goes round in. A snapshot is due after half of them,
-// so that the other half is there while it is written.
-inline constexpr std::uint64_t journal_ring = 256;
+// segments; the ring of keys that the journal goes round in.
+inline constexpr std::uint64_t journal_ring = 1024;
+// segments that may have to be read after the snapshot: at least so many, and more, up to the whole
+// ring, in proportion to the parts of the snapshot. A snapshot is due after half of them, so that
+// the other half is there while it is written. Version 0.1.0 has a ring of just the least, and goes
+// on from a longer one after a snapshot of its own.
+inline constexpr std::uint64_t min_open_segments = 256;
+inline constexpr std::uint64_t open_segments_a_part = 4;
 // bytes of segments after which a snapshot is due, unless the last snapshot was larger: then that
 // many, so that at most every second byte written is a snapshot's.
 inline constexpr std::size_t journal_least_bytes = 64 * 1024;
@@ -154,8 +159,9 @@
 // share of the state service's changes a second that segments of the journal may take; at the usual
 // limits this is one every 0.15 s or so, which is also what a start waits for it.
 inline constexpr double journal_rate_share = 0.15;
-// parts of a snapshot in one transaction; more would hold up users' writes.
-inline constexpr std::size_t snapshot_parts_a_write = 2;
+// parts of a snapshot in one transaction; more would hold up users' writes, and only a snapshot
+// that would not be written before the segments run out has more.
+inline constexpr std::size_t min_snapshot_parts_a_write = 2;
 // seconds before a transaction of the journal that was refused or not answered is sent again.
 inline constexpr double journal_retry_s = 0.1;
 // tasks one machine takes at most; keeps its reports and the answers within PROTOCOL's bounds.
@@ -279,6 +285,8 @@
 inline constexpr double rental_retry_s = 2.0;
 // names; PROTOCOL's bound on one release.
 inline constexpr std::size_t max_released = 100;
+// share of the cloud's calls that the pages of a machine list may take.
+inline constexpr double list_call_share = 0.25;
 // seconds between machine lists.
 inline constexpr double list_every_s = 5.0;
 // seconds; first and longest pause before a type and zone that had no capacity is asked again. It
--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -39,6 +39,7 @@
   released_.clear();
   demands_.clear();
   listing_ = releasing_ = catalog_busy_ = false;
+  list_after_.clear();
   if (types_.empty()) types_ = directory_.types();
   for (const auto& [name, record] : rentals) {
     Rental hire{record};
@@ -104,7 +105,7 @@
     size_fleet();
   }
   release_due();
-  if (!listing_ && now - list_s_ >= constants::list_every_s && affordable()) read_list("");
+  if (list_due(now) && affordable()) read_list();
 }
 
 // --- catalog ---
@@ -320,9 +321,17 @@
 
 // --- lists ---
 
-void CloudDesk::read_list(const std::string& after) {
+// A large fleet has many pages. They are asked for one at a time, at a share of the calls that the
+// cloud takes, so that rentals and releases are never crowded out.
+bool CloudDesk::list_due(double now_s) const {
+  const double pause = list_after_.empty() ? constants::list_every_s
+                                           : 1 / (constants::list_call_share * settings_.cloud_rps);
+  return !listing_ && now_s - list_s_ >= std::min(pause, constants::list_every_s);
+}
+
+void CloudDesk::read_list() {
   listing_ = true;
-  call({"GET", protocol::list_path(after), ""}, [this](const HttpResponse& response) {
+  call({"GET", protocol::list_path(list_after_), ""}, [this](const HttpResponse& response) {
     listing_ = false;
     list_s_ = runtime_.now_s();
     if (response.status != 200) return;
@@ -333,7 +342,8 @@
       return spdlog::info("machine list malformed why=\"{}\"", problem.what());
     }
     for (const auto& each : list.machines) listed(each);
-    if (list.more && !list.machines.empty()) read_list(list.machines.back().id);
+    const bool more = list.more && !list.machines.empty();
+    list_after_ = more ? list.machines.back().id : "";
   });
 }
 
--- a/src/coordination/cloud_desk.hpp
+++ b/src/coordination/cloud_desk.hpp
@@ -64,7 +64,8 @@
   void drop_hopeless();
   void release(const std::vector<std::string>& machines);
   void release_due();
-  void read_list(const std::string& after);
+  bool list_due(double now_s) const;
+  void read_list();  // the next page
   void listed(const protocol::ListedMachine& machine);
 
   transport::Runtime& runtime_;
@@ -92,6 +93,7 @@
   double began_s_ = 0;
   double catalog_s_ = 0;
   double list_s_ = 0;
+  std::string list_after_;  // the page to be read next begins after this machine
   double sized_s_ = 0;
   double release_s_ = 0;
   bool listing_ = false;
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -177,7 +177,7 @@
 void JournalDesk::consider_snapshot() {
   if (next_head_ || !on_snapshot_) return;
   const std::size_t most_bytes = std::max(constants::journal_least_bytes, snapshot_bytes_);
-  if (bytes_since_ < most_bytes && segments_since_snapshot() < constants::journal_ring / 2) return;
+  if (bytes_since_ < most_bytes && segments_since_snapshot() < max_open_segments() / 2) return;
   next_head_ = JournalHead{head_.generation + 1, 0,
                            segments_.empty() ? next_number_ : segments_.front().number};
   bytes_since_ = 0;
@@ -192,6 +192,20 @@
   }
 }
 
+std::uint64_t JournalDesk::max_open_segments() const {
+  const std::uint64_t parts = next_head_ ? next_head_->parts : head_.parts;
+  return std::clamp(constants::open_segments_a_part * parts, constants::min_open_segments,
+                    constants::journal_ring);
+}
+
+// Of the segments that are left when a snapshot begins, half may be used up until it has landed.
+std::size_t JournalDesk::snapshot_parts_a_write() const {
+  const std::uint64_t writes = max_open_segments() / 4;
+  const std::uint64_t parts = next_head_ ? next_head_->parts : 0;
+  return std::max<std::size_t>(constants::min_snapshot_parts_a_write,
+                               (parts + writes - 1) / writes);
+}
+
 void JournalDesk::make_batch() {
   consider_snapshot();
   if (segments_.empty()) cut();
@@ -208,10 +222,10 @@
   };
   // The ring's oldest segments are needed until the next snapshot counts.
   while (!segments_.empty() && fits(segments_.front()) &&
-         segments_.front().number - head_.from < constants::journal_ring)
+         segments_.front().number - head_.from < max_open_segments())
     take(segments_);
-  for (std::size_t i = 0;
-       i < constants::snapshot_parts_a_write && !parts_.empty() && fits(parts_.front()); ++i)
+  const std::size_t parts_a_write = snapshot_parts_a_write();
+  for (std::size_t i = 0; i < parts_a_write && !parts_.empty() && fits(parts_.front()); ++i)
     take(parts_);
   // The head counts only with every part: landed, or in the same transaction.
   if (!next_head_ || !parts_.empty() || batch_.size() >= most) return;
--- a/src/coordination/journal_desk.hpp
+++ b/src/coordination/journal_desk.hpp
@@ -41,6 +41,8 @@
   std::size_t max_bitmap_tasks() const;
   void pump();  // called often while leading
   // Segments a successor would have to read after the snapshot.
+  // Segments that may be written before the next snapshot counts.
+  std::uint64_t max_open_segments() const;
   std::uint64_t segments_since_snapshot() const { return next_number_ - head_.from; }
   void on_landed(std::function<void()> handler) { on_landed_ = std::move(handler); }
   // Asked for the entries that describe everything appended so far.
@@ -66,6 +68,7 @@
   void send();
   void settled(const TransactionResult& result);
   void verify();
+  std::size_t snapshot_parts_a_write() const;
   void landed(std::uint64_t revision);
   void later(std::function<void()> action);
 
--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -80,7 +80,7 @@
   void run(Life& life, double for_s, const std::function<void()>& more) {
     const double until = queue.now() + for_s;
     while (queue.now() < until &&
-           life.journal->segments_since_snapshot() < constants::journal_ring) {
+           life.journal->segments_since_snapshot() < life.journal->max_open_segments()) {
       more();
       life.journal->pump();
       queue.run_until(queue.now() + 0.02);
