--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -130,7 +130,10 @@
 }
 
 TEST_F(GangTest, ALostTaskIsReplacedUnderTheSameAttemptElsewhere) {
-  for (const char* id : {"a1", "a2", "a3"}) add(model, id, 4).heard_s = 5;
+  // The third has room for one task only, no more than the machine that is left: it is no better.
+  add(model, "a1", 4).heard_s = 5;
+  add(model, "a2", 4).heard_s = 5;
+  add(model, "a3", 2).heard_s = 5;
   Job& gang = add_gang("req-1", 4);
   apply(plan(), 77);
   ASSERT_EQ(gang.placements.size(), 4u);
--- a/tests/world/rules.cpp
+++ b/tests/world/rules.cpp
@@ -37,6 +37,20 @@
                                                      place.type) != spec.types->end();
   if (!type_allowed || (place.spot && !spec.spot) || (spec.zone && *spec.zone != place.zone))
     breach("wrong_place", name);
+  if (spec.one_zone || spec.spread) check_zones(spec, index, place);
+  if (places.empty()) team_cpus_[spec.team] += spec.each.cpus;
+  places[place.machine] = place;
+  const auto limit = limits_[spec.team];
+  if (limit > 0 && team_cpus_[spec.team] > limit) breach("quota", spec.team);
+  const auto told = cancelled_told_.find(id);
+  if (told == cancelled_told_.end()) return;
+  if (queue_.now() > told->second + late_start_s) ++cancelled_starts_;
+  if (queue_.now() > told->second + cancel_s_) breach("ran_cancelled", name + " started");
+}
+
+void Rules::check_zones(const protocol::JobSpec& spec, std::uint32_t index, const Place& place) {
+  const std::string& id = spec.id;
+  const std::string name = id + "/" + std::to_string(index) + " on " + place.machine;
   std::uint32_t here = 1;
   std::uint32_t elsewhere = 0;
   for (auto it = on_.lower_bound({id, 0}); it != on_.end() && it->first.first == id; ++it) {
@@ -46,14 +60,6 @@
   }
   if (spec.one_zone && elsewhere > 0) breach("wrong_place", name + " splits the zone");
   if (spec.spread && here > (spec.tasks + 1) / 2) breach("wrong_place", name + " crowds a zone");
-  if (places.empty()) team_cpus_[spec.team] += spec.each.cpus;
-  places[place.machine] = place;
-  const auto limit = limits_[spec.team];
-  if (limit > 0 && team_cpus_[spec.team] > limit) breach("quota", spec.team);
-  const auto told = cancelled_told_.find(id);
-  if (told == cancelled_told_.end()) return;
-  if (queue_.now() > told->second + late_start_s) ++cancelled_starts_;
-  if (queue_.now() > told->second + cancel_s_) breach("ran_cancelled", name + " started");
 }
 
 void Rules::off_machine(const std::string& id, std::uint32_t index, const std::string& machine) {
@@ -69,6 +75,11 @@
   if (last && on_last_task_) on_last_task_(id);
 }
 
+bool Rules::is_on_a_machine(const std::string& id) const {
+  const auto it = on_.lower_bound({id, 0});
+  return it != on_.end() && it->first.first == id;
+}
+
 std::set<std::string> Rules::machines_of(const std::string& id) const {
   std::set<std::string> out;
   for (auto it = on_.lower_bound({id, 0}); it != on_.end() && it->first.first == id; ++it)
@@ -79,7 +90,7 @@
 bool Rules::waits_within_limit(const std::string& id) const {
   const auto& spec = jobs_.at(id);
   const auto done = completed_.find(id);
-  if (cancelled_told_.contains(id) || !machines_of(id).empty() ||
+  if (cancelled_told_.contains(id) || is_on_a_machine(id) ||
       (done != completed_.end() && done->second.size() == spec.tasks))
     return false;
   const auto limit = limits_.find(spec.team);
--- a/tests/world/rules.hpp
+++ b/tests/world/rules.hpp
@@ -39,6 +39,7 @@
   }
   // Where a job's tasks are.
   std::set<std::string> machines_of(const std::string& id) const;
+  bool is_on_a_machine(const std::string& id) const;
 
   // What happens on machines.
   void on_machine(const std::string& job, std::uint32_t index, const Place& place);
@@ -74,6 +75,7 @@
   std::size_t on_now(const std::string& job_class) const;
 
  private:
+  void check_zones(const protocol::JobSpec& spec, std::uint32_t index, const Place& place);
   using Task = std::pair<std::string, std::uint32_t>;
   void breach(const std::string& rule, const std::string& detail);
 
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -195,7 +195,7 @@
 protocol::Resources Worker::room() const {
   protocol::Resources free = type_.size;
   for (const auto& each : tasks_)
-    if (each.stage != "exited") free -= rules_.job(each.job)->each;
+    if (each.stage != "exited") free -= each.each;
   return free;
 }
 
@@ -219,6 +219,7 @@
     return changed();
   }
   task.stage = "pulling";
+  task.each = spec->each;
   tasks_.push_back(task);
   auto image = images_.find(spec->image);
   if (image == images_.end())
--- a/tests/world/worker.hpp
+++ b/tests/world/worker.hpp
@@ -55,6 +55,7 @@
     std::string stage;  // pulling, waiting, running, exited
     std::string cause;
     bool stored = false;
+    protocol::Resources each;
     std::uint64_t life = 0;  // tells whether a timer still concerns it
   };
 
