--- a/src/coordination/cloud_desk.cpp
+++ b/src/coordination/cloud_desk.cpp
@@ -48,6 +48,12 @@
   }
 }
 
+std::map<std::string, bookkeeping::RentalRecord> CloudDesk::rental_records() const {
+  std::map<std::string, bookkeeping::RentalRecord> out;
+  for (const auto& [name, rental] : rentals_) out[name] = rental.record;
+  return out;
+}
+
 void CloudDesk::end() {
   ++term_;
   model_ = nullptr;
--- a/src/coordination/cloud_desk.hpp
+++ b/src/coordination/cloud_desk.hpp
@@ -38,7 +38,8 @@
              const std::map<std::string, bookkeeping::RentalRecord>& rentals);
   void end();
   void pass();  // called often while leading
-  const std::map<std::string, Rental>& rentals() const { return rentals_; }
+  // What was asked for and is not settled yet.
+  std::map<std::string, bookkeeping::RentalRecord> rental_records() const;
   bool released(const std::string& machine) const { return released_.contains(machine); }
   const protocol::MachineType* type(const std::string& name) const;
   // A machine's fields that follow from its type.
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -11,10 +11,11 @@
 #include "bookkeeping/model.hpp"
 #include "coordination/cloud_desk.hpp"
 #include "coordination/directory.hpp"
-#include "coordination/gang_tracker.hpp"
 #include "coordination/job_api.hpp"
+#include "coordination/job_finalizer.hpp"
 #include "coordination/journal_desk.hpp"
 #include "coordination/leadership.hpp"
+#include "coordination/report_handler.hpp"
 #include "planning/planner.hpp"
 #include "protocol/properties.hpp"
 #include "protocol/worker_messages.hpp"
@@ -53,44 +54,17 @@
   void build(const bookkeeping::Ledger& ledger);
   void restore_machine(const std::string& id, const bookkeeping::LedgerMachine& known,
                        const bookkeeping::Ledger& ledger);
-  std::vector<bookkeeping::Json> snapshot() const;
 
   // --- jobs ---
   void job_changed(const std::string& id);
   bookkeeping::Job& add_job(const std::string& id, const KnownJob& known);
-  void stop_all(const std::string& job);
-  // Stops the task; of a gang all of them together.
-  void stop_task(bookkeeping::Placement& placement);
-  void note_closable(const std::string& id, const bookkeeping::Job& job);
 
   // --- reports ---
-  bookkeeping::Machine* known_machine(const protocol::Report& report);
-  void reconcile(bookkeeping::Machine& machine, const protocol::Report& report);
-  void new_session(bookkeeping::Machine& machine, std::uint64_t session);
-  void observe(bookkeeping::Machine& machine, bookkeeping::Placement& placement,
-               const protocol::ReportedTask& seen);
-  void judge_unshown(bookkeeping::Machine& machine, const protocol::Report& report);
-  void exited(bookkeeping::Machine& machine, bookkeeping::Placement& placement,
-              protocol::ExitCause cause);
-  void gang_done(bookkeeping::Machine& machine, bookkeeping::Placement& placement,
-                 bookkeeping::Job& gang);
-  // Seconds that a task which is being stopped has to save; 0 where nothing can be saved.
-  double stop_grace_s(const bookkeeping::Job* job) const;
   bool may_start(const bookkeeping::Placement& placement) const;
-  void failed(bookkeeping::Machine& machine, const bookkeeping::Placement& placement,
-              protocol::ExitCause cause);
-  void judge_session(bookkeeping::Machine& machine);
-  void suspect(bookkeeping::Machine& machine, const std::string& why);
-  void note_image(bookkeeping::Machine& machine, const bookkeeping::Job& job);
-  std::vector<protocol::Command> commands_for(bookkeeping::Machine& machine,
-                                              const protocol::Report& report);
   bool start_under_way(const bookkeeping::Machine& machine) const;
   void answer_pending_of(const std::string& machine);
   void answer_pending();
   void send_answer(bookkeeping::Machine& machine, PendingResponse answer);
-  void end(bookkeeping::Machine& machine, bookkeeping::Placement& placement);
-  void end_all(bookkeeping::Machine& machine, const std::string& why);
-  static void drop_ended(bookkeeping::Machine& machine);
 
   // --- passes ---
   void tick();
@@ -100,9 +74,6 @@
   // Logs each gang's reason once.
   void log_waiting_gangs(std::map<std::string, planning::GangWait> waits);
   void apply_placements(const std::vector<planning::PlannedPlacement>& placements, double now_s);
-  void close_jobs();
-  static protocol::JobState final_state(const bookkeeping::Job& job);
-  void closed(const std::vector<std::string>& jobs, const TransactionResult& result);
   std::uint64_t next_attempt();
 
   transport::Runtime& runtime_;
@@ -113,9 +84,10 @@
   CloudDesk& cloud_;
   const protocol::Settings& settings_;
   const protocol::Properties& properties_;
-  GangTracker gangs_;
   std::map<std::string, planning::GangWait> waiting_gangs_;  // of the newest plan
   bookkeeping::Model model_;
+  JobFinalizer finalizer_;
+  ReportHandler reports_;
   std::uint64_t term_ = 0;  // counts takeovers, to drop what belongs to an earlier one
   bool ready_ = false;
   bool quiet_ = false;  // nothing is known of what runs: workers are not answered
@@ -123,13 +95,9 @@
   std::uint64_t plans_ = 0;
   bool plan_due_ = false;
   double plan_at_s_ = 0;
-  bool closing_ = false;
-  double close_at_s_ = 0;
-  double swept_s_ = 0;
   double leases_s_ = 0;
   double move_at_s_ = 0;
   std::int64_t least_waiting_cpus_ = std::numeric_limits<std::int64_t>::max();
-  std::set<std::string> closable_;                            // jobs whose final record is due
   std::map<std::string, PendingResponse> pending_responses_;  // by machine
 };
 
--- /dev/null
+++ b/src/coordination/job_finalizer.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Writes the final records of jobs that are done or cancelled and have left every machine.
+///
+/// The final record and the removal of the job's are one change: a job is never seen in between. It
+/// is conditional on the job's version, so that a cancellation that comes first wins.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bookkeeping/model.hpp"
+#include "coordination/directory.hpp"
+#include "coordination/leadership.hpp"
+#include "coordination/state_store.hpp"
+#include "protocol/settings.hpp"
+
+namespace poppystile::coordination {
+
+class JobFinalizer {
+ public:
+  JobFinalizer(transport::Runtime& runtime, bookkeeping::Model& model, Directory& directory,
+               StateStore& store, Leadership& leadership, const protocol::Settings& settings)
+      : runtime_(runtime),
+        model_(model),
+        directory_(directory),
+        store_(store),
+        leadership_(leadership),
+        settings_(settings) {}
+
+  /// Forgets everything: this node begins or ends to lead.
+  void reset();
+  /// Notes the job when its final record is due.
+  void consider(const std::string& id, const bookkeeping::Job& job);
+  void forget(const std::string& id) { due_.erase(id); }
+  /// Called often while leading.
+  void pump();
+
+ private:
+  /// As many of the due jobs as fit into one transaction.
+  std::vector<std::string> take_due(protocol::Transaction& transaction);
+  static protocol::JobState final_state(const bookkeeping::Job& job);
+  void settled(const std::vector<std::string>& jobs, const TransactionResult& result);
+  void postpone(const std::vector<std::string>& jobs, const TransactionResult& result);
+
+  transport::Runtime& runtime_;
+  bookkeeping::Model& model_;
+  Directory& directory_;
+  StateStore& store_;
+  Leadership& leadership_;
+  const protocol::Settings& settings_;
+  std::uint64_t term_ = 0;  // to drop answers to what was sent before a reset
+  bool writing_ = false;
+  double write_at_s_ = 0;
+  double swept_s_ = 0;
+  std::set<std::string> due_;
+};
+
+}  // namespace poppystile::coordination
