--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -62,8 +62,9 @@
 // used some just before.
 inline constexpr double cloud_rate_share = 0.9;
 
-// calls for users that may wait for the rate limit; at the usual rates these are out in a second.
-inline constexpr std::size_t max_waiting_users = 60;
+// calls for users that may wait for the rate limit: as many as are out in a second, and at least so
+// many.
+inline constexpr std::size_t min_waiting_users = 60;
 
 // --- leadership ---
 // milliseconds; life of the leader's grant: long enough to ride out lost packets and slow
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -306,6 +306,7 @@
     watch_leases();
     cloud_.pass();
     move_replicas();
+    check_fleet_size();
   }
   if (plan_due_ && now >= plan_at_s_) {
     plan();
@@ -343,6 +344,15 @@
   }
 }
 
+void Dispatcher::check_fleet_size() {
+  const double connections = settings_.sockets * constants::server_socket_share;
+  const auto machines = static_cast<double>(model_.machines.size());
+  if (machines <= connections || std::exchange(warned_of_size_, true)) return;
+  spdlog::error(
+      "sockets: {} leave {:.0f} connections for workers and users, but there are {} machines",
+      settings_.sockets, connections, machines);
+}
+
 // Replicas leave a draining machine one at a time. Each is down from its stop until its start
 // elsewhere, so the pause between two moves keeps that cost to a small share of their time.
 void Dispatcher::move_replicas() {
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -70,6 +70,8 @@
   void tick();
   void watch_leases();
   void move_replicas();
+  // Says once when the settings leave fewer connections than there are machines.
+  void check_fleet_size();
   void plan();
   // Logs each gang's reason once.
   void log_waiting_gangs(std::map<std::string, planning::GangWait> waits);
@@ -97,6 +99,7 @@
   double plan_at_s_ = 0;
   double leases_s_ = 0;
   double move_at_s_ = 0;
+  bool warned_of_size_ = false;
   std::int64_t least_waiting_cpus_ = std::numeric_limits<std::int64_t>::max();
   std::map<std::string, PendingResponse> pending_responses_;  // by machine
 };
--- a/src/coordination/gang_tracker.cpp
+++ b/src/coordination/gang_tracker.cpp
@@ -13,12 +13,20 @@
 using protocol::TaskState;
 using Phase = bookkeeping::GangAttempt::Phase;
 
-void GangTracker::on_placed(Job& gang, std::uint64_t attempt, double now_s) {
-  if (gang.gang.phase != Phase::none) return;
+namespace {
+
+void begin_attempt(Job& gang, std::uint64_t attempt, double now_s) {
   gang.gang = {};
   gang.gang.phase = Phase::assembling;
   gang.gang.number = attempt;
   gang.gang.placed_s = now_s;
+}
+
+}  // namespace
+
+void GangTracker::on_placed(Job& gang, std::uint64_t attempt, double now_s) {
+  if (gang.gang.phase != Phase::none) return;
+  begin_attempt(gang, attempt, now_s);
   spdlog::info("gang placed id={} tasks={} attempt={}", gang.spec().id, gang.spec().tasks, attempt);
 }
 
@@ -26,7 +34,9 @@
   if (gang.placements.empty()) return;
   std::set<std::uint64_t> attempts;
   gang.for_each_placement([&](const auto& placement) { attempts.insert(placement.attempt); });
-  on_placed(gang, *attempts.begin(), now_s);
+  begin_attempt(gang, *attempts.begin(), now_s);
+  spdlog::debug("gang restored id={} tasks={} attempt={}", gang.spec().id, gang.placements.size(),
+                gang.gang.number);
   if (attempts.size() > 1 || gang.waiting() > 0) abandon(gang);
 }
 
@@ -40,6 +50,7 @@
 
 void GangTracker::on_task_lost(Job& gang, const std::string& machine, double now_s) {
   if (gang.placements.empty()) {
+    spdlog::info("gang attempt over id={} attempt={}", gang.spec().id, gang.gang.number);
     gang.gang = {};
     return;
   }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -70,6 +70,9 @@
   status.proven_wall_s = directory_.proven_wall_s();
   for (const auto& id : directory_.cancelled()) {
     if (status.cancelled.size() == constants::max_told_cancellations) {
+      // Leases then hang on what is proven by the state service alone.
+      spdlog::error("more cancelled jobs than a status frame names limit={}",
+                    constants::max_told_cancellations);
       status.all_cancelled = false;
       break;
     }
--- a/src/coordination/state_store.cpp
+++ b/src/coordination/state_store.cpp
@@ -79,7 +79,9 @@
 }
 
 bool StateStore::crowded() const {
-  return waiting_[static_cast<std::size_t>(Urgency::user)].size() > constants::max_waiting_users;
+  const auto a_second = static_cast<std::size_t>(requests_.per_second());
+  return waiting_[static_cast<std::size_t>(Urgency::user)].size() >
+         std::max(constants::min_waiting_users, a_second);
 }
 
 void StateStore::enqueue(Urgency urgency, Call call) {
--- a/src/coordination/state_store.hpp
+++ b/src/coordination/state_store.hpp
@@ -44,6 +44,8 @@
   // worth of the whole rate.
   bool take(double amount, bool overdraw, double now_s);
   double wait_s(double amount) const;
+  // What may be spent in a second.
+  double per_second() const { return rate_ * share_; }
 
  private:
   double rate_;
