--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -59,6 +59,7 @@
 
 void Dispatcher::won() {
   ++term_;
+  attempts_ = bookkeeping::AttemptNumbers(leadership_.token());
   store_.set_share(constants::leader_rate_share);
   load(term_);
 }
@@ -204,12 +205,6 @@
                     [](const auto& each) { return each.second.heard && !each.second.lost; }));
 }
 
-std::uint64_t Dispatcher::next_attempt() {
-  // The token makes attempts of different leaders distinct and growing, without a record. A task
-  // is placed once a plan at most, so a plan's tasks can share a number.
-  return (leadership_.token() << constants::attempt_bits) | ++plans_;
-}
-
 // --- reports ---
 
 void Dispatcher::report(const protocol::Report& report, Respond respond) {
@@ -378,6 +373,9 @@
 void Dispatcher::plan() {
   const double began = runtime_.now_s();
   plan_due_ = false;
+  ++plans_;
+  const auto attempt = attempts_.next();
+  if (!attempt) return leadership_.resign("its attempt numbers are used up", 0);
   planning::PlanningContext context;
   context.now_s = began;
   context.teams = &settings_.teams;
@@ -389,7 +387,7 @@
   if (settings_.gang_times) context.gang_wait_s = settings_.gang_times->wait_s;
   planning::Plan made = planning::make_plan(model_, context);
   log_waiting_gangs(std::move(made.waiting_gangs));
-  apply_placements(made.placements, began);
+  apply_placements(made.placements, *attempt, began);
   for (const auto& each : made.stops) {
     Placement* placement =
         model_.machines.at(each.machine).find(each.job, each.index, each.attempt);
@@ -415,8 +413,7 @@
 }
 
 void Dispatcher::apply_placements(const std::vector<planning::PlannedPlacement>& placements,
-                                  double now_s) {
-  const std::uint64_t plan_attempt = next_attempt();
+                                  std::uint64_t plan_attempt, double now_s) {
   std::map<std::string, std::uint64_t> gang_positions;  // the last of each gang's
   for (const auto& each : placements) {
     Machine& machine = model_.machines.at(each.machine);
--- a/src/coordination/dispatcher.hpp
+++ b/src/coordination/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "bookkeeping/attempt_numbers.hpp"
 #include "bookkeeping/model.hpp"
 #include "coordination/cloud_desk.hpp"
 #include "coordination/directory.hpp"
@@ -75,8 +76,8 @@
   void plan();
   // Logs each gang's reason once.
   void log_waiting_gangs(std::map<std::string, planning::GangWait> waits);
-  void apply_placements(const std::vector<planning::PlannedPlacement>& placements, double now_s);
-  std::uint64_t next_attempt();
+  void apply_placements(const std::vector<planning::PlannedPlacement>& placements,
+                        std::uint64_t plan_attempt, double now_s);
 
   transport::Runtime& runtime_;
   Directory& directory_;
@@ -94,7 +95,8 @@
   bool ready_ = false;
   bool quiet_ = false;  // nothing is known of what runs: workers are not answered
   double ready_s_ = 0;
-  std::uint64_t plans_ = 0;
+  std::uint64_t plans_ = 0;  // tells whether a plan was made since a report came
+  bookkeeping::AttemptNumbers attempts_;
   bool plan_due_ = false;
   double plan_at_s_ = 0;
   double leases_s_ = 0;
--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 
+#include "bookkeeping/attempt_numbers.hpp"
 #include "coordination/gang_tracker.hpp"
 #include "planning/planner.hpp"
 #include "unit/planning_samples.hpp"
@@ -22,6 +23,14 @@
 using protocol::JobKind;
 using protocol::Priority;
 
+TEST(AttemptNumbers, EndBeforeThoseOfTheNextToken) {
+  bookkeeping::AttemptNumbers numbers(41, (1 << 24) - 3);
+  EXPECT_EQ(numbers.next(), (std::uint64_t{42} << 24) - 2);
+  EXPECT_EQ(numbers.next(), (std::uint64_t{42} << 24) - 1);
+  EXPECT_EQ(numbers.next(), std::nullopt);
+  EXPECT_EQ(bookkeeping::AttemptNumbers(42).next(), (std::uint64_t{42} << 24) + 1);
+}
+
 class GangTest : public testing::Test {
  protected:
   GangTest() {
