--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -151,15 +151,20 @@
 // on from a longer one after a snapshot of its own.
 inline constexpr std::uint64_t min_open_segments = 256;
 inline constexpr std::uint64_t open_segments_a_part = 4;
-// bytes of segments after which a snapshot is due, unless the last snapshot was larger: then that
-// many, so that at most every second byte written is a snapshot's.
+// bytes of segments after which a snapshot is due, unless the last snapshot was larger than half of
+// it: then twice its size, so that at most every third byte written is a snapshot's.
 inline constexpr std::size_t journal_least_bytes = 64 * 1024;
+inline constexpr std::size_t segment_bytes_a_snapshot_byte = 2;
 // runs one journal entry carries at most, so that records can be cut between entries; fewer where a
 // value must be small.
 inline constexpr std::size_t max_journal_entry_runs = 64;
 // share of the state service's changes a second that segments of the journal may take; at the usual
 // limits this is one every 0.15 s or so, which is also what a start waits for it.
 inline constexpr double journal_rate_share = 0.15;
+// share of the state service's changes a second that the journal may take in all. Where values are
+// small its transactions have many; without this bound final records, which come after the journal,
+// fell behind by minutes.
+inline constexpr double journal_change_share = 0.3;
 // parts of a snapshot in one transaction; more would hold up users' writes, and only a snapshot
 // that would not be written before the segments run out has more.
 inline constexpr std::size_t min_snapshot_parts_a_write = 2;
--- a/src/coordination/journal_desk.cpp
+++ b/src/coordination/journal_desk.cpp
@@ -176,7 +176,8 @@
 // changes nothing. So it waits for no segment, and a ring that is full can always be freed.
 void JournalDesk::consider_snapshot() {
   if (next_head_ || !on_snapshot_) return;
-  const std::size_t most_bytes = std::max(constants::journal_least_bytes, snapshot_bytes_);
+  const std::size_t most_bytes = std::max(
+      constants::journal_least_bytes, constants::segment_bytes_a_snapshot_byte * snapshot_bytes_);
   if (bytes_since_ < most_bytes && segments_since_snapshot() < max_open_segments() / 2) return;
   next_head_ = JournalHead{head_.generation + 1, 0,
                            segments_.empty() ? next_number_ : segments_.front().number};
@@ -251,8 +252,11 @@
     transaction.changes.push_back({each.key, each.value, 0});
   }
   busy_ = true;
-  send_at_s_ =
-      runtime_.now_s() + 1 / (constants::journal_rate_share * settings_.state_limits.write_rps);
+  const double pause_s =
+      std::max(1 / constants::journal_rate_share,
+               static_cast<double>(batch_.size()) / constants::journal_change_share) /
+      settings_.state_limits.write_rps;
+  send_at_s_ = runtime_.now_s() + pause_s;
   store_.transact(transaction, Urgency::journal,
                   [this, term = term_](const TransactionResult& result) {
                     if (term == term_) settled(result);
--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -175,6 +175,25 @@
   EXPECT_EQ(life.journal->max_bitmap_tasks(), 3684u);
 }
 
+// Where values are small every transaction has many changes. The journal once took all that the
+// service allows, and final records came minutes late.
+TEST_F(JournalDeskTest, KeepsToItsShareOfTheChanges) {
+  Life& life = begin();
+  life.settings.state_limits = {250, 28, 2, 8};
+  life.store->set_share(1);
+  const std::uint64_t before = service.changes();
+  std::uint64_t made = 0;
+  constexpr double for_s = 30;
+  run(life, for_s, [&] {
+    for (int i = 0; i < 20; ++i)
+      life.append(
+          bookkeeping::known_entry("n-" + std::to_string(++made % 500), "g", "a", false, made, 0));
+  });
+  const auto changes = static_cast<double>(service.changes() - before);
+  EXPECT_GT(changes, 100);
+  EXPECT_LE(changes, constants::journal_change_share * 28 * for_s + 8);
+}
+
 TEST_F(JournalDeskTest, AnUnknownFormIsNotReadAsEmpty) {
   service.handle(
       {"POST", "/multi", R"({"when":[],"apply":[{"write":"journal/log/1","data":{"v":9}}]})"},
