--- a/tests/unit/journal_desk_test.cpp
+++ b/tests/unit/journal_desk_test.cpp
@@ -185,9 +185,11 @@
   std::uint64_t made = 0;
   constexpr double for_s = 30;
   run(life, for_s, [&] {
-    for (int i = 0; i < 20; ++i)
-      life.append(
-          bookkeeping::known_entry("n-" + std::to_string(++made % 500), "g", "a", false, made, 0));
+    for (int i = 0; i < 20; ++i) {
+      ++made;
+      const std::string id = "n-" + std::to_string(made % 500);
+      life.append(bookkeeping::known_entry(id, "g", "a", false, made, 0));
+    }
   });
   const auto changes = static_cast<double>(service.changes() - before);
   EXPECT_GT(changes, 100);
--- a/tests/unit/production_forms_test.cpp
+++ b/tests/unit/production_forms_test.cpp
@@ -75,6 +75,7 @@
       hire_settled_entry("h-41-1"),
       gone_entry("n-000002")};
   std::vector<std::string> texts;
+  texts.reserve(entries.size());
   for (const Json& each : entries) texts.push_back(each.dump());
   EXPECT_EQ(encode_part(8, 41, texts), segment);
   EXPECT_EQ(encode(JournalHead{3, 2, 8}).dump(), R"({"from":8,"gen":3,"parts":2,"v":2})");
