--- a/tests/world/gangs.cpp
+++ b/tests/world/gangs.cpp
@@ -35,22 +35,23 @@
   watch(key);
 }
 
+bool Gangs::any_host_hangs(const Attempt& attempt) {
+  return std::any_of(attempt.members.begin(), attempt.members.end(),
+                     [](const auto& each) { return each.second.host->is_hanging(); });
+}
+
 // A machine that hangs is noticed as if its task were gone.
 void Gangs::watch(const Key& key) {
   Attempt& attempt = attempts_[key];
   if (attempt.over) return;
-  const bool hangs = std::any_of(attempt.members.begin(), attempt.members.end(),
-                                 [](const auto& each) { return each.second.host->is_hanging(); });
-  if (hangs) return fail(key);
+  if (any_host_hangs(attempt)) return fail(key);
   queue_.after(watch_every_s, [this, key] { watch(key); });
 }
 
 void Gangs::finish(const Key& key) {
   Attempt& attempt = attempts_[key];
   if (attempt.over || attempt.stopped_at >= 0) return;
-  const bool hangs = std::any_of(attempt.members.begin(), attempt.members.end(),
-                                 [](const auto& each) { return each.second.host->is_hanging(); });
-  if (hangs) return fail(key);
+  if (any_host_hangs(attempt)) return fail(key);
   attempt.over = true;
   for (std::uint32_t index = 0; index < rules_.job(key.first)->tasks; ++index)
     rules_.completed(key.first, index);
--- a/tests/world/gangs.hpp
+++ b/tests/world/gangs.hpp
@@ -60,6 +60,7 @@
   using Key = std::pair<std::string, std::uint64_t>;
 
   void begin(const Key& key);
+  static bool any_host_hangs(const Attempt& attempt);
   void watch(const Key& key);
   void finish(const Key& key);
   void fail(const Key& key);
