--- a/review/5/older_answer.cpp
+++ b/review/6/older_answer.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Case 5: a question that is still open when another controller confirms a cancellation is
+/// Case 6: a question that is still open when another controller confirms a cancellation is
 /// answered with an older state, because one controller's state service answers late.
 /// Arguments: run command, folder, record, 1 with and 0 without the disruption.
 #include "../standins-2/deployment.hpp"
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,7 +2,7 @@
 # Case 6. TROUBLE=0 plays the same without the disruption. Exits with 1 if the rule was broken, 0 if
 # it held, 2 if the case couldn't run. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/one_zone
+program=target/review-2/older_answer
 command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
 [ -x "$program" ] && [ -x "${command%% *}" ] || exit 2
 folder=$(mktemp -d) || exit 2
--- a/review/6/one_zone.cpp
+++ b/review/7/one_zone.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Case 6: a job bound to one zone that loses its machine is left waiting beside a free machine.
+/// Case 7: a job bound to one zone that loses its machine is left waiting beside a free machine.
 /// Arguments: run command, folder, record, 1 with and 0 without the disruption.
 #include "../standins-2/deployment.hpp"
 
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -164,6 +164,13 @@
     pids_[i] = 0;
     return true;
   }
+  /// Memory that the process holds for itself, in MB (without pages of files).
+  double memory_mb(int i) const {
+    std::ifstream file("/proc/" + std::to_string(pids_[i]) + "/status");
+    for (std::string line; std::getline(file, line);)
+      if (line.rfind("RssAnon:", 0) == 0) return std::atof(line.c_str() + 8) / 1024;
+    return 0;
+  }
   bool running(int i) const { return pids_[i] > 0; }
 
   /// The controller that the state service names as leader; -1 if none.
--- a/review/standins-2/state_service.hpp
+++ b/review/standins-2/state_service.hpp
@@ -46,6 +46,22 @@
     const auto found = entries_.find(key);
     return found == entries_.end() ? Json() : found->second.data;
   }
+  /// Writes keys as one change, as controllers would have done over a longer time.
+  void write_all_at_once(const std::vector<std::pair<std::string, Json>>& records) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++epoch_;
+    for (const auto& [key, data] : records) {
+      entries_[key] = {data, epoch_, 0};
+      note({epoch_, key, false, data});
+    }
+    changed_.notify_all();
+  }
+  std::size_t count_keys(const std::string& prefix) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::size_t count = 0;
+    for (auto it = entries_.lower_bound(prefix); it != entries_.end() && it->first.rfind(prefix, 0) == 0; ++it) ++count;
+    return count;
+  }
   std::uint64_t refused_for_rate() const { return refused_for_rate_; }
 
  private:
@@ -141,7 +157,7 @@
     Json items = Json::array();
     bool more = false;
     std::size_t bytes = 0;
-    for (auto it = entries_.lower_bound(prefix); it != entries_.end() && it->first.rfind(prefix, 0) == 0; ++it) {
+    for (auto it = entries_.lower_bound(std::max(prefix, from)); it != entries_.end() && it->first.rfind(prefix, 0) == 0; ++it) {
       if (!from.empty() && it->first <= from) continue;
       Json item = describe(it->first, it->second);
       bytes += item.dump().size() + 1;
