--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -15,6 +15,8 @@
     Json spec;
     double run_s = 1;
     bool fails = false;            // The job was submitted with a mistake.
+    std::uint32_t long_from = ~0u; // Tasks from this index on run for `long_run_s`.
+    double long_run_s = 0;
     double told_cancelled = -1;    // When a user was told that the job is cancelled.
   };
   std::mutex mutex;
@@ -423,7 +425,8 @@
         task.fails = entry->second.fails;
         image = spec["bundle"];
         pull_gb = spec["pull_gb"];
-        run_s = entry->second.run_s;
+        const auto index = std::strtoul(key.first.c_str() + job.size() + 1, nullptr, 10);
+        run_s = index >= entry->second.long_from ? entry->second.long_run_s : entry->second.run_s;
         service = spec["shape"] == "standing";
       }
     }
