Jobs bound to one zone use the zone in which their tasks fit now

Cause: ArrayBatch::choose_zone took the zone with the largest machines, busy or not, and excluded the others. The autoscaler counted the free capacity of all zones for such a job, so it rented nothing.

The new log line "zone chosen" names the zone and how many tasks fit there. With the choice, the packing into one zone and the zone of placed tasks each taken out, OneZoneArrayUsesTheZoneWithFreeResources, RentsForAOneZoneArrayInTheZoneThatHasCapacity and WaitingTasksOfAOneZoneJobNeedTheZoneOfItsPlacedTasks failed.

Why this works: the zone in which most of the waiting tasks fit into free resources is chosen, and the size decides only between equals, so a job with no placed task starts wherever one fits. The autoscaler packs each job with one_zone into one zone: that of its placed tasks, else the one with the most free capacity, else that of the cheapest offer.

--- a/src/coordination/leader/scheduling_loop.cpp
+++ b/src/coordination/leader/scheduling_loop.cpp
@@ -55,6 +55,7 @@
   if (!attempt) return election_.resign("attempt numbers of the term exhausted", Seconds{0});
   planning::Plan new_plan = planning::make_plan(cluster_state_, planning_context(started_at));
   log_waiting_gangs(std::move(new_plan.waiting_gangs));
+  log_zone_choices(std::move(new_plan.zone_choices));
   apply_placements(new_plan.placements, *attempt, started_at);
   apply_preemptions(new_plan.preemptions);
   update_least_waiting_cpus();
@@ -90,6 +91,17 @@
   waiting_gangs_ = std::move(wait_reasons);
 }
 
+// Logs the zone of an array whose tasks must be in one zone, when it is chosen first and whenever
+// it changes.
+void SchedulingLoop::log_zone_choices(std::map<std::string, planning::ZoneChoice> choices) {
+  for (const auto& [id, choice] : choices) {
+    const auto previous = zone_choices_.find(id);
+    if (previous == zone_choices_.end() || previous->second.zone != choice.zone)
+      spdlog::info("zone chosen job={} zone={} free_tasks={}", id, choice.zone, choice.free_tasks);
+  }
+  zone_choices_ = std::move(choices);
+}
+
 void SchedulingLoop::apply_placements(const std::vector<planning::PlannedPlacement>& placements,
                                       std::uint64_t plan_attempt, SteadyTime now) {
   // Log position of each gang's last entry, by job id.
--- a/src/coordination/leader/scheduling_loop.hpp
+++ b/src/coordination/leader/scheduling_loop.hpp
@@ -52,6 +52,7 @@
   void plan();
   planning::PlanningContext planning_context(SteadyTime now) const;
   void log_waiting_gangs(std::map<std::string, planning::GangWaitReason> wait_reasons);
+  void log_zone_choices(std::map<std::string, planning::ZoneChoice> choices);
   void apply_placements(const std::vector<planning::PlannedPlacement>& placements,
                         std::uint64_t plan_attempt, SteadyTime now);
   void apply_preemptions(const std::vector<planning::PlannedPreemption>& preemptions);
@@ -70,6 +71,8 @@
   SteadyTime next_plan_at_;
   // The gangs that wait as of the newest plan, by job id.
   std::map<std::string, planning::GangWaitReason> waiting_gangs_;
+  // The zones chosen for arrays as of the newest plan, by job id.
+  std::map<std::string, planning::ZoneChoice> zone_choices_;
   // The smallest CPU demand of a waiting task as of the newest plan; the maximum if no task waits.
   std::int64_t least_waiting_cpus_ = std::numeric_limits<std::int64_t>::max();
 };
--- a/src/planning/array_batch.cpp
+++ b/src/planning/array_batch.cpp
@@ -26,9 +26,10 @@
 
 std::uint32_t ArrayBatch::add(const Job& job, std::uint32_t batched_tasks) {
   const JobSpec& spec = job.spec();
-  LablJob labl_job = make_labl_job(spec);
-  labl_job.task_count = std::min(
-      {labl_job.task_count, task_limit(job, batched_tasks), quotas_.remaining_tasks(spec)});
+  const std::uint32_t max_tasks =
+      std::min(task_limit(job, batched_tasks), quotas_.remaining_tasks(spec));
+  if (max_tasks == 0) return 0;
+  LablJob labl_job = make_labl_job(spec, max_tasks);
   const std::uint32_t added = labl_job.task_count;
   if (added == 0) return 0;
   quotas_.add(spec, added);
@@ -45,12 +46,12 @@
   return std::min(waiting_tasks, saturating_subtract(first_tasks, batched_tasks));
 }
 
-LablJob ArrayBatch::make_labl_job(const JobSpec& job) {
+LablJob ArrayBatch::make_labl_job(const JobSpec& job, std::uint32_t max_tasks) {
   LablJob labl_job;
   labl_job.local_cost.reserve(draft_.slots().size());
   labl_job.has_image.reserve(draft_.slots().size());
   std::int64_t free_tasks = 0;
-  const std::string required_zone = job.one_zone ? choose_zone(job) : "";
+  const std::string required_zone = job.one_zone ? choose_zone(job, max_tasks) : "";
   for (const auto& slot : draft_.slots()) {
     const auto concurrent_tasks = job.task_resources.times_in(slot.array_capacity);
     const bool is_allowed = concurrent_tasks > 0 && draft_.is_allowed(slot, job) &&
@@ -60,20 +61,31 @@
     labl_job.has_image.push_back(is_allowed && slot.has_cached_or_is_fetching(job.image) ? 1 : 0);
     if (is_allowed) free_tasks += job.task_resources.times_in(slot.free);
   }
-  labl_job.task_count =
-      static_cast<std::uint32_t>(std::min<std::int64_t>(free_tasks, constants::max_tasks));
+  labl_job.task_count = static_cast<std::uint32_t>(std::min<std::int64_t>(free_tasks, max_tasks));
   return labl_job;
 }
 
-std::string ArrayBatch::choose_zone(const JobSpec& job) {
-  std::map<std::string, std::int64_t> capacity_by_zone;
-  for (const auto& slot : draft_.slots())
-    if (draft_.is_allowed(slot, job))
-      capacity_by_zone[slot.machine->zone] += job.task_resources.times_in(slot.array_capacity);
+// The zone with the most capacity may be occupied for long by tasks of other jobs. So what fits
+// into the free resources decides, and the capacity only between zones that are equal in that.
+std::string ArrayBatch::choose_zone(const JobSpec& job, std::uint32_t max_tasks) {
+  struct ZoneCapacity {
+    std::uint32_t free_tasks = 0;
+    std::int64_t concurrent_tasks = 0;
+    auto operator<=>(const ZoneCapacity&) const = default;
+  };
+  std::map<std::string, ZoneCapacity> capacity_by_zone;
+  for (const auto& slot : draft_.slots()) {
+    if (!draft_.is_allowed(slot, job)) continue;
+    ZoneCapacity& capacity = capacity_by_zone[slot.machine->zone];
+    capacity.free_tasks = std::min(capacity.free_tasks + slot.task_capacity(job), max_tasks);
+    capacity.concurrent_tasks += job.task_resources.times_in(slot.array_capacity);
+  }
   const auto best =
       std::max_element(capacity_by_zone.begin(), capacity_by_zone.end(),
                        [](const auto& a, const auto& b) { return a.second < b.second; });
-  return best == capacity_by_zone.end() ? "" : best->first;
+  if (best == capacity_by_zone.end()) return "";
+  draft_.record_zone_choice(job.id, {best->first, best->second.free_tasks});
+  return best->first;
 }
 
 void ArrayBatch::place() {
--- a/src/planning/array_batch.hpp
+++ b/src/planning/array_batch.hpp
@@ -31,15 +31,16 @@
   void place();
 
  private:
-  /// The job as input of LABL, with as many tasks as fit into the free resources of all machines
-  /// that may run it.
-  LablJob make_labl_job(const protocol::JobSpec& job);
+  /// The job as input of LABL, with as many tasks, up to `max_tasks`, as fit into the free
+  /// resources of all machines that may run it.
+  LablJob make_labl_job(const protocol::JobSpec& job, std::uint32_t max_tasks);
   /// The number of the job's tasks that may be added besides `batched_tasks` in earlier batches,
   /// without regard to quotas and free resources.
   std::uint32_t task_limit(const cluster::Job& job, std::uint32_t batched_tasks) const;
-  /// For a job whose tasks must all be in one zone: the zone that can run the most of them at once
-  /// beside its services; empty when no machine may run the job.
-  std::string choose_zone(const protocol::JobSpec& job);
+  /// For a job whose tasks must all be in one zone: the zone in which the most of up to `max_tasks`
+  /// tasks fit into free resources and, among equals, the one that can run the most of the job's
+  /// tasks at once beside its services. Empty when no machine may run the job.
+  std::string choose_zone(const protocol::JobSpec& job, std::uint32_t max_tasks);
 
   PlanDraft& draft_;
   const JobOrder& order_;
--- a/src/planning/autoscaler/bin_packer.cpp
+++ b/src/planning/autoscaler/bin_packer.cpp
@@ -18,8 +18,12 @@
   return fitting;
 }
 
-bool must_choose_zone(const JobSpec& spec) {
-  return spec.kind == JobKind::gang && spec.one_zone && !spec.zone;
+bool must_choose_zone(const JobSpec& spec) { return spec.one_zone && !spec.zone; }
+
+// For how many tasks a zone must have capacity to be of use to the job: for all tasks of a gang,
+// which start together, and for one task of any other job.
+std::uint32_t min_useful_tasks(const TaskDemand& demand) {
+  return demand.spec.kind == JobKind::gang ? demand.wanted : 1;
 }
 
 }  // namespace
@@ -30,7 +34,7 @@
 
 void BinPacker::pack(const TaskDemand& demand) {
   JobSpec spec = demand.spec;
-  if (must_choose_zone(spec)) spec.zone = choose_gang_zone(demand);
+  if (must_choose_zone(spec)) spec.zone = choose_zone(demand);
   std::uint32_t count = demand.permitted;
   for (auto& bin : supply_.bins) {
     if (count == 0) return;
@@ -50,15 +54,16 @@
   }
 }
 
-// Returns the zone with free capacity for the most of the gang's tasks, among the zones with
-// capacity for the whole gang or in which machines can be rented; if there are none, among all
+// Returns the zone with free capacity for the most of the job's tasks, among the zones with
+// capacity for `min_useful_tasks` or in which machines can be rented; if there are none, among all
 // zones. Returns nothing if there is no zone.
-std::optional<std::string> BinPacker::choose_gang_zone(const TaskDemand& demand) const {
+std::optional<std::string> BinPacker::choose_zone(const TaskDemand& demand) const {
   std::optional<std::string> best;
   std::int64_t best_capacity = 0;
   bool best_suffices = false;
   for (const auto& [zone, task_capacity] : task_capacity_by_zone(demand.spec)) {
-    const bool suffices = task_capacity >= demand.wanted || can_rent_in(zone, demand.spec);
+    const bool suffices =
+        task_capacity >= min_useful_tasks(demand) || can_rent_in(zone, demand.spec);
     if (best &&
         (best_suffices > suffices || (best_suffices == suffices && best_capacity >= task_capacity)))
       continue;
@@ -66,7 +71,10 @@
     best_capacity = task_capacity;
     best_suffices = suffices;
   }
-  return best;
+  if (best_capacity > 0 || demand.spec.kind == JobKind::gang) return best;
+  const auto offer =
+      selector_.cheapest(demand.spec, demand.prefer_quick_start, supply_.composition);
+  return offer ? offer->zone : best;
 }
 
 // Returns for how many tasks the bins of each zone have capacity: 0 for zones of the catalog
--- a/src/planning/autoscaler/bin_packer.hpp
+++ b/src/planning/autoscaler/bin_packer.hpp
@@ -33,7 +33,7 @@
   const std::vector<const TaskDemand*>& unplaced() const { return unplaced_; }
 
  private:
-  std::optional<std::string> choose_gang_zone(const TaskDemand& demand) const;
+  std::optional<std::string> choose_zone(const TaskDemand& demand) const;
   std::map<std::string, std::int64_t> task_capacity_by_zone(const protocol::JobSpec& spec) const;
   bool can_rent_in(const std::string& zone, const protocol::JobSpec& spec) const;
 
--- a/src/planning/autoscaler/capacity_demand.cpp
+++ b/src/planning/autoscaler/capacity_demand.cpp
@@ -63,6 +63,14 @@
   return jobs;
 }
 
+// The job's constraints on the machines of its waiting tasks: where all tasks must be in one zone,
+// that of the tasks which are placed already.
+JobSpec constraints_of_waiting_tasks(const Job& job) {
+  JobSpec spec = job.spec();
+  if (spec.one_zone && !job.placements.empty()) spec.zone = job.placements.begin()->second->zone;
+  return spec;
+}
+
 class DemandBuilder {
  public:
   DemandBuilder(const ClusterState& cluster_state, const ScalingContext& context)
@@ -72,15 +80,19 @@
 
   CapacityDemand build() {
     const std::vector<const Job*> jobs = jobs_in_packing_order(cluster_state_);
-    for (const Job* job : jobs)
-      add(job->spec(), tasks_wanted_at_once(*job, context_.wall_now), DemandPurpose::waiting_tasks,
-          true);
+    for (const Job* job : jobs) add_waiting_tasks(*job);
     add_service_reserves(jobs);
     add_gang_reserves();
     return std::move(demand_);
   }
 
  private:
+  void add_waiting_tasks(const Job& job) {
+    const std::uint32_t wanted = tasks_wanted_at_once(job, context_.wall_now);
+    if (wanted > 0)
+      add(constraints_of_waiting_tasks(job), wanted, DemandPurpose::waiting_tasks, true);
+  }
+
   void add(const JobSpec& spec, std::uint32_t wanted, DemandPurpose purpose,
            bool prefer_quick_start) {
     const std::uint32_t permitted = quotas_.take(spec, wanted);
--- a/src/planning/plan_draft.hpp
+++ b/src/planning/plan_draft.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "planning/machine_slot.hpp"
@@ -65,6 +66,11 @@
     plan_.waiting_gangs[job] = reason;
   }
 
+  /// Records the zone chosen for an array with `one_zone`.
+  void record_zone_choice(const std::string& job, ZoneChoice choice) {
+    plan_.zone_choices[job] = std::move(choice);
+  }
+
   /// Number of placements decided so far, by job id.
   std::map<std::string, std::uint32_t> count_placements_by_job() const;
 
--- a/src/planning/planner.hpp
+++ b/src/planning/planner.hpp
@@ -39,11 +39,19 @@
 /// The reason as a text for the log.
 const char* to_string(GangWaitReason reason);
 
+/// The zone chosen for the waiting tasks of an array with `one_zone`.
+struct ZoneChoice {
+  std::string zone;
+  /// How many of the tasks fit into free resources of the zone.
+  std::uint32_t free_tasks = 0;
+};
+
 /// The decisions of one planning pass, in the order in which they were made.
 struct Plan {
   std::vector<PlannedPlacement> placements;
   std::vector<PlannedPreemption> preemptions;
   std::map<std::string, GangWaitReason> waiting_gangs;  // by job id
+  std::map<std::string, ZoneChoice> zone_choices;       // by job id
 };
 
 /// Inputs of a plan besides the cluster state. The pointers must not be null.
--- a/tests/unit/bin_packer_test.cpp
+++ b/tests/unit/bin_packer_test.cpp
@@ -79,5 +79,17 @@
   EXPECT_EQ(packer.missing_machines(), (std::map<Offer, int>{{{"t", "a", true}, 2}}));
 }
 
+// Guards against counting free capacity of several zones for a job that can use only one of them.
+TEST_F(BinPackerTest, RentsForAOneZoneArrayInTheZoneThatHasCapacity) {
+  add(cluster_state, "a1", 4);
+  add(cluster_state, "b1", 16);
+  JobSpec array = spec("req-1", JobKind::array, 10, Priority::normal);
+  array.one_zone = true;
+  BinPacker packer = make_packer();
+  const TaskDemand demand = demand_for(array);
+  packer.pack(demand);
+  EXPECT_EQ(packer.missing_machines(), (std::map<Offer, int>{{{"t", "b", true}, 1}}));
+}
+
 }  // namespace
 }  // namespace poppystile::planning
--- a/tests/unit/capacity_demand_test.cpp
+++ b/tests/unit/capacity_demand_test.cpp
@@ -83,5 +83,15 @@
   EXPECT_EQ(demand().cpus, 2000);
 }
 
+// Guards against counting capacity in zones where the waiting tasks may not run.
+TEST_F(CapacityDemandTest, WaitingTasksOfAOneZoneJobNeedTheZoneOfItsPlacedTasks) {
+  JobSpec array = spec("a", JobKind::array, 2, Priority::normal);
+  array.one_zone = true;
+  add(cluster_state, array);
+  EXPECT_EQ(demand().tasks.at(0).spec.zone, std::nullopt);
+  cluster_state.place(add(cluster_state, "b1", 2), cluster_state.jobs.at("a"), 1, steady_at(0));
+  EXPECT_EQ(demand().tasks.at(0).spec.zone, "b");
+}
+
 }  // namespace
 }  // namespace poppystile::planning
--- a/tests/unit/planner_test.cpp
+++ b/tests/unit/planner_test.cpp
@@ -186,6 +186,22 @@
   EXPECT_EQ(std::max(zones["req-2"]["a"], zones["req-2"]["b"]), 3);
 }
 
+// Guards against an array with `one_zone` waiting beside free machines, because the zone with the
+// most capacity is occupied by other jobs.
+TEST_F(PlannerTest, OneZoneArrayUsesTheZoneWithFreeResources) {
+  add(cluster_state, spec("req-1", JobKind::array, 16, Priority::normal));
+  add(cluster_state, "a1", 32);
+  apply(plan());
+  add(cluster_state, "b1", 16);
+  JobSpec one_zone_job = spec("req-2", JobKind::array, 16, Priority::normal);
+  one_zone_job.one_zone = true;
+  one_zone_job.image = "other";
+  add(cluster_state, one_zone_job);
+  const Plan result = plan();
+  EXPECT_EQ(result.zone_choices.at("req-2").zone, "b");
+  EXPECT_EQ(result.placements.size(), 8u);
+}
+
 // A team is charged for a task until its placement is released, also after the job is erased.
 TEST_F(PlannerTest, TeamUsageLastsAsLongAsThePlacementEvenIfTheJobIsErased) {
   add(cluster_state, spec("req-1", JobKind::array, 3, Priority::normal));
