A controller informs its peers of a state before a user learns it

Cause: a comparison of versions proves a state at the time at which it was sent, and its result was told for up to a second (max_read_age), whatever other controllers had told meanwhile. The same held for done and, with 404, for an acceptance.

New debug line "job read" with the age of the comparison.

Why this works: JobStateAnnouncer. A controller that reports a state which it has known for less than 1.1 s informs its peers first and responds when all have acknowledged, after which they know it whatever their reads return. Without acknowledgements it responds when no read sent before may be told any more. Acceptances wait for 50 ms at most. This is replication before an acknowledgement, one exchange between controllers; no response is delayed to keep a user from asking. A peer of an earlier version does not acknowledge, so the longer wait applies during an upgrade.

A peer connection counted as broken by the size of the frame to be sent; a small frame behind a large status would have closed it. It now goes by the largest frame sent on the connection.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -132,6 +132,12 @@
 // controller may have reported a newer state. Above the few hundred milliseconds that a response
 // sometimes takes, and below the timeout of a poll.
 inline constexpr Seconds max_read_age{1.0};
+// Seconds after which no controller may still respond with a state older than one that another
+// controller has learnt: `max_read_age`, and an allowance for late timers and for clock drift.
+inline constexpr Seconds announcement_timeout{1.1};
+// Seconds for which a response that reports an acceptance may wait for the peers' acknowledgements.
+// Short, since users want acceptances within a fraction of a second while a peer may be down.
+inline constexpr Seconds max_acceptance_hold{0.05};
 // Seconds for which a user's change that the state service throttled is tried again.
 inline constexpr Seconds submission_retry_window{1.0};
 // Seconds; the value of the Retry-After header.
--- a/src/coordination/api/consistent_reader.cpp
+++ b/src/coordination/api/consistent_reader.cpp
@@ -1,5 +1,7 @@
 #include "coordination/api/consistent_reader.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -30,8 +32,12 @@
       shared_state_(shared_state),
       limits_(limits) {}
 
+Seconds ConsistentReader::response_age() const {
+  return runtime_.now() - key_value_client_.answered_request_sent_at();
+}
+
 bool ConsistentReader::response_is_fresh() const {
-  return runtime_.now() - key_value_client_.answered_request_sent_at() <= constants::max_read_age;
+  return response_age() <= constants::max_read_age;
 }
 
 void ConsistentReader::confirm_current(const std::string& id, Callback done) {
@@ -78,8 +84,11 @@
 }
 
 void ConsistentReader::finish_query(Query query, const TransactionResult& result) {
-  if (result.status == CallStatus::ok && response_is_fresh())
-    return query.done(query.cached ? ReadResult::active : ReadResult::absent);
+  if (result.status == CallStatus::ok && response_is_fresh()) {
+    if (!query.cached) return finish_absent(query.id, query.done);
+    spdlog::debug("job read id={} age_s={:.3f}", query.id, response_age().count());
+    return query.done(ReadResult::active);
+  }
   if (result.status != CallStatus::conflict) return query.done(ReadResult::unavailable);
   const bool changed = contains(result.failed, job_key(query.id)) ||
                        contains(result.failed, final_record_key(query.id));
@@ -88,6 +97,14 @@
   confirm_current(query.id, std::move(query.done));
 }
 
+// The job may have been accepted after the answered request was sent, and a user may know that.
+void ConsistentReader::finish_absent(const std::string& id, const Callback& done) {
+  if (shared_state_.final_state(id)) return done(ReadResult::terminal);
+  if (shared_state_.job(id) != nullptr) return confirm_current(id, done);
+  const bool is_absent = response_is_fresh() && !shared_state_.accepted_by_peer(id);
+  done(is_absent ? ReadResult::absent : ReadResult::unavailable);
+}
+
 // Reads the job's record before its final record, so that a job that ends between the two reads is
 // found by the second.
 void ConsistentReader::read_from_service(const std::string& id, Callback done) {
@@ -104,16 +121,15 @@
 }
 
 void ConsistentReader::read_final_record(const std::string& id, Callback done) {
-  key_value_client_.get(
-      final_record_key(id), RequestPriority::user,
-      [this, done = std::move(done)](CallStatus status,
-                                     const std::optional<protocol::Entry>& final_record) {
-        if (status != CallStatus::ok) return done(ReadResult::unavailable);
-        if (!final_record)
-          return done(response_is_fresh() ? ReadResult::absent : ReadResult::unavailable);
-        shared_state_.apply_response(final_record->key, final_record->value, final_record->version);
-        done(ReadResult::terminal);
-      });
+  key_value_client_.get(final_record_key(id), RequestPriority::user,
+                        [this, id, done = std::move(done)](
+                            CallStatus status, const std::optional<protocol::Entry>& final_record) {
+                          if (status != CallStatus::ok) return done(ReadResult::unavailable);
+                          if (!final_record) return finish_absent(id, done);
+                          shared_state_.apply_response(final_record->key, final_record->value,
+                                                       final_record->version);
+                          done(ReadResult::terminal);
+                        });
 }
 
 }  // namespace poppystile::coordination
--- a/src/coordination/api/consistent_reader.hpp
+++ b/src/coordination/api/consistent_reader.hpp
@@ -27,7 +27,8 @@
 /// Confirms cached jobs against the state service, and reads changed jobs again.
 ///
 /// Returns `active` or `absent` only if the request that proves it was sent at most
-/// `constants::max_read_age` ago: another controller may have reported a later change to users.
+/// `constants::max_read_age` ago, and `absent` only if no peer has accepted the job since: another
+/// controller may have reported a later change to users.
 class ConsistentReader {
  public:
   using Callback = std::function<void(ReadResult)>;
@@ -56,6 +57,10 @@
   void send_compare(std::vector<Query> queries);
   void finish_query(Query query, const TransactionResult& result);
   void read_final_record(const std::string& id, Callback done);
+  /// Completes a query about a job that was not stored when the answered request was sent.
+  void finish_absent(const std::string& id, const Callback& done);
+  /// Time since the request was sent whose response is being handled.
+  Seconds response_age() const;
   bool response_is_fresh() const;
 
   transport::Runtime& runtime_;
--- a/src/coordination/api/job_api.cpp
+++ b/src/coordination/api/job_api.cpp
@@ -31,11 +31,13 @@
 }  // namespace
 
 JobApi::JobApi(transport::Runtime& runtime, KeyValueClient& key_value_client,
-               SharedStateCache& shared_state, const protocol::Settings& settings,
+               SharedStateCache& shared_state, JobStateAnnouncer& announcer,
+               const protocol::Settings& settings,
                std::function<TaskCounts(const std::string&)> counts)
     : runtime_(runtime),
       key_value_client_(key_value_client),
       shared_state_(shared_state),
+      announcer_(announcer),
       settings_(settings),
       counts_(std::move(counts)),
       admission_check_(settings),
@@ -65,13 +67,16 @@
 // --- responses ---
 
 void JobApi::respond_state(const std::string& id, const Respond& respond) const {
-  respond({200, protocol::encode_submitted(id, state_of(id))});
+  announcer_.announce(id, [this, id, respond] {
+    respond({200, protocol::encode_submitted(id, state_of(id))});
+  });
 }
 
 void JobApi::respond_status(const std::string& id, const Respond& respond) const {
-  const JobState state = state_of(id);
-  const TaskCounts counts = counts_(id);
-  respond({200, protocol::encode_job_status(id, state, counts.done, counts.running)});
+  announcer_.announce(id, [this, id, respond] {
+    const TaskCounts counts = counts_(id);
+    respond({200, protocol::encode_job_status(id, state_of(id), counts.done, counts.running)});
+  });
 }
 
 ConsistentReader::Callback JobApi::respond_state_if_stored(const std::string& id,
@@ -141,7 +146,9 @@
       shared_state_.apply_response(job_key(job.id), record, result.revision);
       spdlog::info("job accepted id={} class={} team={} tasks={}", job.id, job.job_class, job.team,
                    job.tasks);
-      return respond({201, protocol::encode_submitted(job.id, JobState::queued)});
+      return announcer_.announce(job.id, [this, id = job.id, respond] {
+        respond({201, protocol::encode_submitted(id, state_of(id))});
+      });
     case CallStatus::conflict:
       return reader_.read_from_service(job.id, respond_state_if_stored(job.id, respond));
     case CallStatus::throttled:
@@ -186,7 +193,7 @@
   if (result.status == CallStatus::ok) {
     shared_state_.apply_response(job_key(id), record, result.revision);
     spdlog::info("job cancelled id={}", id);
-    return respond({200, protocol::encode_submitted(id, JobState::cancelled)});
+    return respond_state(id, respond);
   }
   if (result.status == CallStatus::conflict) return read_and_mark_cancelled(cancellation);
   if (result.status != CallStatus::throttled || !within_retry_window(received_at))
--- a/src/coordination/api/job_api.hpp
+++ b/src/coordination/api/job_api.hpp
@@ -9,6 +9,7 @@
 
 #include "coordination/api/admission_check.hpp"
 #include "coordination/api/consistent_reader.hpp"
+#include "coordination/peers/job_state_announcer.hpp"
 #include "coordination/state/key_value_client.hpp"
 #include "coordination/state/shared_state_cache.hpp"
 #include "protocol/settings.hpp"
@@ -26,7 +27,8 @@
 /// Handles submissions, status polls and cancellations.
 ///
 /// Each call responds exactly once. Except for the task counts, and whether a job is queued or
-/// running, a response contains only what the state service has confirmed. The response is 503 with
+/// running, a response contains only what the state service has confirmed, and no other controller
+/// responds with an older state afterwards (`JobStateAnnouncer`). The response is 503 with
 /// Retry-After while the state service is not reachable, too many calls to it are queued, or it
 /// throttles a change for longer than `constants::submission_retry_window`. A submission or
 /// cancellation with a 503 may have been stored; users can safely repeat it.
@@ -35,8 +37,8 @@
   /// All references must outlive this object. `counts` returns the task counts of the job with the
   /// given id.
   JobApi(transport::Runtime& runtime, KeyValueClient& key_value_client,
-         SharedStateCache& shared_state, const protocol::Settings& settings,
-         std::function<TaskCounts(const std::string&)> counts);
+         SharedStateCache& shared_state, JobStateAnnouncer& announcer,
+         const protocol::Settings& settings, std::function<TaskCounts(const std::string&)> counts);
 
   /// Stores a new job (201), or responds with the state of a job that is stored already (200).
   /// Responds 400 if the body is malformed, and 422 if the job can never run or its record is too
@@ -87,6 +89,7 @@
   transport::Runtime& runtime_;
   KeyValueClient& key_value_client_;
   SharedStateCache& shared_state_;
+  JobStateAnnouncer& announcer_;
   const protocol::Settings& settings_;
   std::function<TaskCounts(const std::string&)> counts_;
   AdmissionCheck admission_check_;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -41,14 +41,15 @@
              properties),
       leader_(runtime, shared_state_, key_value_client_, election_, journal_, fleet_, settings,
               properties),
-      job_api_(runtime, key_value_client_, shared_state_, settings,
+      job_state_announcer_(runtime, peers, settings, shared_state_, incarnation_),
+      job_api_(runtime, key_value_client_, shared_state_, job_state_announcer_, settings,
                [this](const std::string& job) { return task_counts(job); }),
       peer_monitor_(runtime, settings),
       cancellations_(runtime, settings, shared_state_),
       worker_reachability_(runtime, settings) {}
 
 void Controller::start() {
-  peer_transport_.set_frame_handler([this](const std::string& frame) { on_peer_status(frame); });
+  peer_transport_.set_frame_handler([this](const std::string& frame) { on_peer_frame(frame); });
   shared_state_.start();
   election_.start();
   leader_.start();
@@ -112,16 +113,19 @@
   return status;
 }
 
-void Controller::on_peer_status(const std::string& frame) {
-  auto status = peer_monitor_.decode(frame);
-  if (!status) return;
-  cancellations_.apply(*status);
+void Controller::on_peer_frame(const std::string& frame) {
+  if (job_state_announcer_.handle_frame(frame)) return;
+  if (auto status = peer_monitor_.decode(frame)) on_peer_status(std::move(*status));
+}
+
+void Controller::on_peer_status(protocol::PeerStatus status) {
+  cancellations_.apply(status);
   // A partition can delay frames; of a delayed frame only the cancellations still apply.
-  if (peer_monitor_.is_superseded(*status)) return;
-  cancellations_.confirm(*status);
-  if (peer_monitor_.is_recent(*status))
-    worker_reachability_.count_redirected_by_peer(status->redirected_heartbeats);
-  const protocol::PeerStatus& latest = peer_monitor_.record(std::move(*status));
+  if (peer_monitor_.is_superseded(status)) return;
+  cancellations_.confirm(status);
+  if (peer_monitor_.is_recent(status))
+    worker_reachability_.count_redirected_by_peer(status.redirected_heartbeats);
+  const protocol::PeerStatus& latest = peer_monitor_.record(std::move(status));
   if (election_.is_leader()) step_down_if_superseded(latest);
 }
 
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -52,7 +52,8 @@
   void refresh_state_contact();
   void check_worker_reachability();
   protocol::PeerStatus make_status(std::uint64_t redirected_heartbeats) const;
-  void on_peer_status(const std::string& frame);
+  void on_peer_frame(const std::string& frame);
+  void on_peer_status(protocol::PeerStatus status);
   void step_down_if_superseded(const protocol::PeerStatus& status);
   void handle_heartbeat(const std::string& body, const transport::Respond& respond);
   void redirect_heartbeat(const transport::Respond& respond);
@@ -71,6 +72,7 @@
   JournalWriter journal_;
   FleetManager fleet_;
   Leader leader_;
+  JobStateAnnouncer job_state_announcer_;
   JobApi job_api_;
   PeerMonitor peer_monitor_;
   CancellationTracker cancellations_;
--- a/src/coordination/state/shared_state_cache.cpp
+++ b/src/coordination/state/shared_state_cache.cpp
@@ -25,6 +25,19 @@
   return found->second;
 }
 
+SteadyTime SharedStateCache::known_since(const std::string& id) const {
+  return time_of(known_since_, id);
+}
+
+SteadyTime SharedStateCache::terminal_since(const std::string& id) const {
+  return time_of(terminal_since_, id);
+}
+
+// An event that is not recorded was in the first listing, or is too old to be remembered.
+SteadyTime SharedStateCache::time_of(const RecentEvents& events, const std::string& id) const {
+  return events.find(id).value_or(loaded_ ? loaded_at_ : runtime_.now());
+}
+
 // --- listing and watch ---
 
 void SharedStateCache::load() {
@@ -38,10 +51,11 @@
           return;
         }
         apply_listing(listing);
-        if (!loaded_)
+        if (!std::exchange(loaded_, true)) {
+          loaded_at_ = runtime_.now();
           spdlog::info("shared state loaded jobs={} final_records={}", jobs_.size(),
                        final_states_.size());
-        loaded_ = true;
+        }
         revision_ = std::max(revision_, listing.revision);
         update_freshness(sent_at, sent_at_wall);
         if (on_leader_) on_leader_();
@@ -120,7 +134,8 @@
     // A cancellation is permanent. An older record must not undo it: one can arrive after a peer
     // has advertised the cancellation, or in the listing after a gap in the watch.
     if (cancelled_.contains(id)) job.record.cancelled = true;
-    if (job.record.cancelled) cancelled_.insert(id);
+    if (job.record.cancelled && cancelled_.insert(id).second) record(terminal_since_, id);
+    if (cached == jobs_.end()) record(known_since_, id);
     jobs_[id] = std::move(job);
   } else if (cached != jobs_.end()) {
     jobs_.erase(cached);
@@ -132,9 +147,22 @@
 
 // Final states are never changed or deleted, so their versions need not be compared.
 void SharedStateCache::apply_final_state(const std::string& id, const std::optional<Json>& value) {
-  if (!value) return;
-  final_states_.emplace(id, storage::decode_final_state(*value));
-  cancelled_.erase(id);
+  if (value) set_final_state(id, storage::decode_final_state(*value));
+}
+
+void SharedStateCache::apply_completion(const std::string& id) {
+  set_final_state(id, protocol::JobState::done);
+}
+
+void SharedStateCache::set_final_state(const std::string& id, protocol::JobState state) {
+  const bool is_new = final_states_.emplace(id, state).second;
+  const bool was_cancelled = cancelled_.erase(id) > 0;
+  if (is_new && !was_cancelled) record(terminal_since_, id);
+}
+
+// Events of the first listing have the time at which it was loaded, and may be very many.
+void SharedStateCache::record(RecentEvents& events, const std::string& id) const {
+  if (loaded_) events.record(id, runtime_.now());
 }
 
 void SharedStateCache::apply_leader(const std::optional<Json>& value, std::uint64_t version) {
@@ -147,6 +175,7 @@
 
 void SharedStateCache::apply_cancellation(const std::string& id) {
   if (final_states_.contains(id) || !cancelled_.insert(id).second) return;
+  record(terminal_since_, id);
   const auto cached = jobs_.find(id);
   if (cached == jobs_.end()) return;
   cached->second.record.cancelled = true;
--- a/src/coordination/state/shared_state_cache.hpp
+++ b/src/coordination/state/shared_state_cache.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "coordination/state/key_value_client.hpp"
+#include "coordination/state/recent_events.hpp"
 #include "storage/records.hpp"
 
 namespace poppystile::coordination {
@@ -59,6 +60,17 @@
   std::optional<protocol::JobState> final_state(const std::string& id) const;
   /// Ids of the cancelled jobs for which no final state has been read.
   const std::set<std::string>& cancelled() const { return cancelled_; }
+  /// Steady time at which this cache learnt that the job is cancelled or done. May be earlier if
+  /// the job is neither, or if that was longer than `constants::announcement_timeout` ago.
+  SteadyTime terminal_since(const std::string& id) const;
+  /// Steady time at which this cache learnt of the job. May be earlier if that was longer than
+  /// `constants::announcement_timeout` ago.
+  SteadyTime known_since(const std::string& id) const;
+  /// Whether a peer has announced that it accepted the job. Forgotten after
+  /// `constants::announcement_timeout`.
+  bool accepted_by_peer(const std::string& id) const {
+    return accepted_by_peers_.find(id).has_value();
+  }
   /// The leader's record; `nullopt` if there is no leader.
   const std::optional<CachedLeader>& leader() const { return leader_; }
   /// The highest fencing token that was read, and the version of its key; 0 if none is stored.
@@ -75,6 +87,10 @@
   /// Marks a job as cancelled because a peer has advertised its cancellation, which may not have
   /// reached this cache yet.
   void apply_cancellation(const std::string& id);
+  /// Sets the final state `done` because a peer has announced it.
+  void apply_completion(const std::string& id);
+  /// Remembers that a peer has accepted the job, whose record may not have reached this cache yet.
+  void apply_acceptance(const std::string& id) { accepted_by_peers_.record(id, runtime_.now()); }
   /// Sets the handler that runs whenever a job's record was changed or deleted.
   void on_job(std::function<void(const std::string& id)> handler) { on_job_ = std::move(handler); }
   /// Sets the handler that runs, once the cache is loaded, whenever the leader's record may have
@@ -89,6 +105,9 @@
   void apply_job(const std::string& id, const std::optional<protocol::Json>& value,
                  std::uint64_t version);
   void apply_final_state(const std::string& id, const std::optional<protocol::Json>& value);
+  void set_final_state(const std::string& id, protocol::JobState state);
+  void record(RecentEvents& events, const std::string& id) const;
+  SteadyTime time_of(const RecentEvents& events, const std::string& id) const;
   void apply_leader(const std::optional<protocol::Json>& value, std::uint64_t version);
 
   transport::Runtime& runtime_;
@@ -100,6 +119,10 @@
   std::map<std::string, CachedJob> jobs_;
   std::unordered_map<std::string, protocol::JobState> final_states_;
   std::set<std::string> cancelled_;
+  RecentEvents known_since_{constants::announcement_timeout};
+  RecentEvents terminal_since_{constants::announcement_timeout};
+  RecentEvents accepted_by_peers_{constants::announcement_timeout};
+  SteadyTime loaded_at_;
   std::optional<CachedLeader> leader_;
   std::uint64_t leader_version_ = 0;  // Version of the leader key's last change or deletion.
   std::uint64_t token_ = 0;
--- a/src/transport/peer_connections.cpp
+++ b/src/transport/peer_connections.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -21,8 +22,8 @@
 constexpr std::size_t incoming_buffer_bytes = 4096;
 // Peers send nothing on these connections; reading only detects their end.
 constexpr std::size_t outgoing_buffer_bytes = 64;
-// A connection whose send queue exceeds this number of frames plus this number of bytes counts as
-// broken.
+// A connection whose send queue exceeds this number of its largest frames plus this number of bytes
+// counts as broken.
 constexpr std::size_t max_queued_frames = 4;
 constexpr std::size_t queue_allowance_bytes = 4096;
 
@@ -53,7 +54,9 @@
     if (!stream_) return connect();
     if (!connected_) return disconnect_if_timed_out();
     // Writes to a broken connection report no error; only the growing send queue reveals it.
-    if (stream_->write_queue_size() > max_queued_frames * frame.size() + queue_allowance_bytes)
+    largest_frame_bytes_ = std::max(largest_frame_bytes_, frame.size());
+    if (stream_->write_queue_size() >
+        max_queued_frames * largest_frame_bytes_ + queue_allowance_bytes)
       return disconnect();
     if (!stream_->write(with_length(frame))) disconnect();
   }
@@ -62,6 +65,7 @@
   void connect() {
     stream_.emplace(loop_);
     connected_ = false;
+    largest_frame_bytes_ = 0;
     connecting_since_ = loop_.now();
     if (!stream_->connect(to_, [this](bool connected) { on_connected(connected); })) disconnect();
   }
@@ -85,6 +89,7 @@
   Endpoint to_;
   std::optional<TcpStream> stream_;
   bool connected_ = false;
+  std::size_t largest_frame_bytes_ = 0;  // Of the frames sent on this connection.
   SteadyTime connecting_since_;
 };
 
--- a/tests/simulation/scenario_actions.cpp
+++ b/tests/simulation/scenario_actions.cpp
@@ -228,6 +228,10 @@
        [](Simulation& simulation, const Statement& s) {
          simulation.users().send_unusual_requests(duration_of(s));
        }},
+      {"query_all_controllers",
+       [](Simulation& simulation, const Statement& s) {
+         simulation.users().query_all_controllers(duration_of(s));
+       }},
       {"query_unknown", [](Simulation& simulation,
                            const Statement&) { simulation.users().query_unknown("req-999999"); }},
   };
--- a/tests/simulation/simulated_users.cpp
+++ b/tests/simulation/simulated_users.cpp
@@ -21,6 +21,9 @@
 constexpr Seconds latency{0.002};  // One-way latency.
 constexpr Seconds max_cancel_delay{0.01};
 constexpr Seconds unusual_request_interval{0.4};
+// Time between two queries at all controllers, and how long they go on after an event.
+constexpr Seconds close_query_interval{0.03};
+constexpr Seconds close_query_duration{1.5};
 constexpr int unusual_request_kinds = 3;
 constexpr double impossible_cores = 1e6;
 
@@ -44,7 +47,10 @@
   const std::vector<ControllerProcess*> reachable = cluster_.reachable_by_users();
   if (reachable.empty()) return queue_.after(connect_timeout, [done] { done({}); });
   const double chosen = queue_.uniform(0, static_cast<double>(reachable.size()));
-  ControllerProcess& to = *reachable[static_cast<std::size_t>(chosen)];
+  send(*reachable[static_cast<std::size_t>(chosen)], request, std::move(done));
+}
+
+void SimulatedUsers::send(ControllerProcess& to, const HttpRequest& request, OnResponse done) {
   auto settled = std::make_shared<bool>(false);
   const auto settle = [settled, done = std::move(done)](HttpResponse response) {
     if (!std::exchange(*settled, true)) done(std::move(response));
@@ -80,6 +86,7 @@
 void SimulatedUsers::submit(const protocol::JobSpec& job) {
   invariants_.record_submission(job);
   bodies_[job.id] = protocol::encode_submission(job).dump();
+  query_closely_if_enabled(job.id);
   resubmit(job.id);
 }
 
@@ -109,6 +116,7 @@
 
 void SimulatedUsers::cancel(const std::string& job) {
   cancelling_.insert(job);
+  query_closely_if_enabled(job);
   call({"POST", "/submissions/" + job + "/cancel", ""}, [this, job](const HttpResponse& response) {
     if (response.status == 404)
       return invariants_.record_response(job, response.status, "", RequestKind::cancellation);
@@ -147,6 +155,26 @@
   });
 }
 
+void SimulatedUsers::query_all_controllers(Seconds duration) {
+  close_queries_until_ = queue_.now() + duration.count();
+  invariants_.on_job_completed([this](const std::string& job) { query_closely_if_enabled(job); });
+}
+
+void SimulatedUsers::query_closely_if_enabled(const std::string& job) {
+  if (queue_.now() <= close_queries_until_)
+    query_closely(job, queue_.now() + close_query_duration.count());
+}
+
+void SimulatedUsers::query_closely(const std::string& job, double until) {
+  if (queue_.now() > until) return;
+  for (ControllerProcess* to : cluster_.reachable_by_users())
+    send(*to, {"GET", "/submissions/" + job, ""}, [this, job](const HttpResponse& response) {
+      const std::string stage = response.status == 200 ? stage_of(response) : "";
+      invariants_.record_response(job, response.status, stage, RequestKind::query);
+    });
+  queue_.after(close_query_interval, [this, job, until] { query_closely(job, until); });
+}
+
 void SimulatedUsers::send_unusual_requests(Seconds duration) {
   unusual_requests_until_ = queue_.now() + duration.count();
   send_unusual_request(0);
--- a/tests/simulation/simulated_users.hpp
+++ b/tests/simulation/simulated_users.hpp
@@ -39,6 +39,9 @@
   /// During `duration`, cancels each job whose last task completes with the probability `share`,
   /// within 10 ms of the completion.
   void cancel_on_completion(double share, Seconds duration);
+  /// During `duration`, queries each job whose submission or cancellation is sent, or whose last
+  /// task completes, at all controllers every few milliseconds.
+  void query_all_controllers(Seconds duration);
   /// During `duration`, repeats submissions of unfinished jobs, cancels finished jobs and sends
   /// invalid submissions.
   void send_unusual_requests(Seconds duration);
@@ -52,6 +55,9 @@
   void call(const transport::HttpRequest& request, OnResponse done);
   void transmit(ControllerProcess& to, const transport::HttpRequest& request,
                 const OnResponse& on_response);
+  void send(ControllerProcess& to, const transport::HttpRequest& request, OnResponse done);
+  void query_closely(const std::string& job, double until);
+  void query_closely_if_enabled(const std::string& job);
   void duplicate(const transport::HttpRequest& request);
   void poll(const std::string& job);
   void send_unusual_request(int request_number);
@@ -68,6 +74,7 @@
   std::set<std::string> finished_;
   double cancel_on_completion_share_ = 0;
   double unusual_requests_until_ = 0;  // simulated time
+  double close_queries_until_ = 0;     // simulated time
 };
 
 }  // namespace poppystile::simulation
--- a/tests/unit/controller_test.cpp
+++ b/tests/unit/controller_test.cpp
@@ -10,6 +10,7 @@
 #include "simulation/event_queue.hpp"
 #include "simulation/fake_http_caller.hpp"
 #include "simulation/state_service.hpp"
+#include "unit/fake_peer_transport.hpp"
 
 namespace poppystile::coordination {
 namespace {
@@ -18,14 +19,6 @@
 using protocol::PeerStatus;
 using transport::HttpResponse;
 
-struct FakePeerTransport : transport::PeerTransport {
-  void broadcast(const std::string&) override {}
-  void set_frame_handler(std::function<void(const std::string&)> handler) override {
-    deliver_frame = std::move(handler);
-  }
-  std::function<void(const std::string&)> deliver_frame;
-};
-
 constexpr Seconds outage_at{10};
 constexpr Seconds worker_lease{10};
 constexpr Seconds cancel_timeout{35};
--- a/tests/unit/decoders_test.cpp
+++ b/tests/unit/decoders_test.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "protocol/cloud_messages.hpp"
+#include "protocol/job_state_message.hpp"
 #include "protocol/json.hpp"
 #include "protocol/peer_messages.hpp"
 #include "protocol/state_messages.hpp"
@@ -51,7 +52,9 @@
          reader.add(storage::segment_key(1), protocol::parse_object(s));
          reader.replay();
        }},
-      {frame, [](auto& s) { protocol::decode_peer_status(s); }}};
+      {frame, [](auto& s) { protocol::decode_peer_status(s); }},
+      {protocol::encode_job_state_message({}),
+       [](auto& s) { protocol::decode_job_state_message(s); }}};
   std::mt19937_64 random(5);
   for (const auto& [original, decode] : targets) {
     EXPECT_NO_THROW(decode(original));
--- a/tests/unit/job_api_test.cpp
+++ b/tests/unit/job_api_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include "simulation/test_clock.hpp"
+#include "unit/fake_peer_transport.hpp"
 #include "unit/shared_state_fixture.hpp"
 
 namespace poppystile::coordination {
@@ -49,8 +50,10 @@
     return received;
   }
 
-  JobApi job_api{caller, key_value_client, shared_state, settings,
-                 [](const auto&) { return TaskCounts{}; }};
+  FakePeerTransport peers;
+  JobStateAnnouncer announcer{caller, peers, settings, shared_state, 1};
+  JobApi job_api{caller,    key_value_client, shared_state,
+                 announcer, settings,         [](const auto&) { return TaskCounts{}; }};
   double response_time = -1;
 };
 
