A worker forgets an attempt only when no copy of its start can arrive

Reported of a service like this one: a late copy of a start command, which had been carried out and answered, started a task a second time, and a cancelled task ran again. Asked: can it happen here?

Commands go only in responses to heartbeats, and a worker drops a response 4 s after it sent the heartbeat. Within these 4 s it could happen: once the attempt is forgotten (PROTOCOL's reap), a copy of the response with its start starts it anew, beside its next attempt on another machine.

Evidence: the simulation copies heartbeat responses now (duplicate_heartbeat_responses), and its workers execute the commands of a copy while the response would still be accepted and token and incarnation match. ExitedTaskIsKeptWhileACopyOfItsStartMayBeExecuted failed with the check taken out.

Why this works: an exited attempt is forgotten 4 s after the last response of this leader that carried its start, so any copy reaches a worker that still knows the attempt, where a start has no effect.

--- a/src/cluster/machine.cpp
+++ b/src/cluster/machine.cpp
@@ -26,4 +26,17 @@
   return nullptr;
 }
 
+void Machine::record_start(const Placement& started, SteadyTime now, SteadyTime effective_until) {
+  std::erase_if(recent_starts, [&](const SentStart& each) { return each.effective_until < now; });
+  recent_starts.push_back({started.job, started.index, started.attempt, effective_until});
+}
+
+bool Machine::may_start_again(const std::string& job, std::uint32_t index, std::uint64_t attempt,
+                              SteadyTime now) const {
+  return std::any_of(recent_starts.begin(), recent_starts.end(), [&](const SentStart& each) {
+    return each.effective_until >= now && each.index == index && each.attempt == attempt &&
+           each.job == job;
+  });
+}
+
 }  // namespace poppystile::cluster
--- a/src/cluster/machine.hpp
+++ b/src/cluster/machine.hpp
@@ -15,6 +15,14 @@
 
 using storage::CachedImage;
 
+/// A start command that was sent to a worker.
+struct SentStart {
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+  SteadyTime effective_until;  // Until then the worker may execute a copy of the response.
+};
+
 struct Machine {
   std::string id;
   std::string type;
@@ -48,6 +56,8 @@
   bool is_overdue = false;              // The next heartbeat is overdue.
   bool lease_expired = false;           // The worker lease expired, and no heartbeat followed.
   SteadyTime last_response_at;
+  // Start commands of which copies may still be executed, in the order in which they were sent.
+  std::vector<SentStart> recent_starts;
 
   // Each of these flags alone excludes the machine from new placements.
   bool releasing = false;  // Its release was requested or is scheduled.
@@ -82,6 +92,15 @@
   /// The placement with this job, task index and attempt; null when the machine has none. Valid
   /// until `placements` changes.
   Placement* find(const std::string& job, std::uint32_t index, std::uint64_t attempt);
+
+  /// Records that a start command is sent now, and that a copy of it is executed until
+  /// `effective_until` at most. Forgets the start commands that are not executed any more.
+  void record_start(const Placement& started, SteadyTime now, SteadyTime effective_until);
+
+  /// Whether the worker may execute a copy of a start command for this job, task index and attempt.
+  /// It does so only after a command to forget the attempt.
+  bool may_start_again(const std::string& job, std::uint32_t index, std::uint64_t attempt,
+                       SteadyTime now) const;
 };
 
 }  // namespace poppystile::cluster
--- a/src/coordination/leader/heartbeat_handler.cpp
+++ b/src/coordination/leader/heartbeat_handler.cpp
@@ -130,6 +130,9 @@
       if (placement != nullptr && placement->finished &&
           !journal_.is_durable(placement->log_position))
         continue;
+      // A worker that has forgotten an attempt would execute a copy of its start command.
+      if (machine.may_start_again(reported.job, reported.index, reported.attempt, runtime_.now()))
+        continue;
       command.op = Command::Op::forget;
     } else if (placement != nullptr) {
       if (!placement->stopping) continue;
--- a/src/coordination/leader/heartbeat_handler.hpp
+++ b/src/coordination/leader/heartbeat_handler.hpp
@@ -39,7 +39,7 @@
 
   /// Applies a heartbeat, for which `is_newer` must hold, to the machine and its placements.
   /// Returns stop commands, and forget commands for exited tasks that the worker need not report
-  /// any more.
+  /// any more and that no copy of a start command can start again.
   std::vector<protocol::Command> process(cluster::Machine& machine,
                                          const protocol::Heartbeat& heartbeat);
 
--- a/src/coordination/leader/heartbeat_responder.cpp
+++ b/src/coordination/leader/heartbeat_responder.cpp
@@ -46,6 +46,10 @@
 }
 
 void HeartbeatResponder::send(Machine& machine, PendingResponse response) {
+  const SteadyTime now = runtime_.now();
+  // The worker drops the response that long after it sent the heartbeat.
+  const SteadyTime effective_until =
+      now + constants::worker_response_timeout * (1 + constants::clock_drift);
   if (machine.has_acknowledged_token)
     for (auto& placed_task : machine.placements) {
       // The placement must be durable in the journal before its task is started.
@@ -54,8 +58,9 @@
       placed_task.start_sequence = response.sequence;
       response.commands.push_back({Command::Op::start, placed_task.job, placed_task.index,
                                    placed_task.attempt, Seconds{0}});
+      machine.record_start(placed_task, now, effective_until);
     }
-  machine.last_response_at = runtime_.now();
+  machine.last_response_at = now;
   machine.has_been_answered = true;
   response.respond({200, protocol::encode_commands(election_.token(), response.commands)});
 }
--- a/tests/simulation/fault_injector.cpp
+++ b/tests/simulation/fault_injector.cpp
@@ -93,6 +93,11 @@
   set_temporarily(queue_, network_.duplicated_heartbeats, duplication, duration);
 }
 
+void FaultInjector::duplicate_heartbeat_responses(const Duplication& duplication,
+                                                  Seconds duration) {
+  set_temporarily(queue_, network_.duplicated_heartbeat_responses, duplication, duration);
+}
+
 void FaultInjector::delay_heartbeat_responses(const AddedLatency& latency, Seconds duration) {
   set_temporarily(queue_, network_.delayed_heartbeat_responses, latency, duration);
 }
--- a/tests/simulation/fault_injector.hpp
+++ b/tests/simulation/fault_injector.hpp
@@ -59,6 +59,7 @@
   /// Heartbeats of `count` random machines reach no controller.
   void block_heartbeats_of_machines(int count, Seconds duration);
   void duplicate_heartbeats(const Duplication& duplication, Seconds duration);
+  void duplicate_heartbeat_responses(const Duplication& duplication, Seconds duration);
   void delay_heartbeat_responses(const AddedLatency& latency, Seconds duration);
 
   // State service and cloud.
--- a/tests/simulation/heartbeat_network.cpp
+++ b/tests/simulation/heartbeat_network.cpp
@@ -58,6 +58,10 @@
       if (response.body.find(R"("verb":"start")") != std::string::npos) ++lost_start_commands_;
       return;
     }
+    const Duplication& duplication = faults_.duplicated_heartbeat_responses;
+    if (queue_.chance(duplication.share))
+      queue_.after(queue_.uniform(duplication.min_delay, duplication.max_delay),
+                   [on_response, response] { on_response(response); });
     if (!queue_.chance(faults_.delayed_heartbeat_responses.share)) return on_response(response);
     queue_.after(faults_.delayed_heartbeat_responses.delay,
                  [on_response, response] { on_response(response); });
--- a/tests/simulation/network_faults.hpp
+++ b/tests/simulation/network_faults.hpp
@@ -50,6 +50,9 @@
   Duplication duplicated_calls;
   /// Duplicates workers' heartbeats; each duplicate arrives at a random controller.
   Duplication duplicated_heartbeats;
+  /// Duplicates responses to heartbeats. A worker executes the commands of a duplicate that arrives
+  /// before it would have stopped waiting for the response.
+  Duplication duplicated_heartbeat_responses;
   /// Workers in this zone reach only controllers in it, and other workers only controllers outside
   /// it. Empty if no zone is isolated.
   std::string isolated_zone;
--- a/tests/simulation/scenario_actions.cpp
+++ b/tests/simulation/scenario_actions.cpp
@@ -178,6 +178,10 @@
          simulation.faults().reclaim_spot_machines(s.number("share", 0.5), s.seconds("notice", 0));
        }},
       {"duplicate_heartbeats", duplicate_heartbeats},
+      {"duplicate_heartbeat_responses",
+       [](Simulation& simulation, const Statement& s) {
+         simulation.faults().duplicate_heartbeat_responses(duplication_of(s, 0.5), duration_of(s));
+       }},
       {"delay_heartbeat_responses",
        [](Simulation& simulation, const Statement& s) {
          simulation.faults().delay_heartbeat_responses(latency_of(s, 0.3, 3), duration_of(s));
--- a/tests/simulation/worker.cpp
+++ b/tests/simulation/worker.cpp
@@ -147,7 +147,7 @@
 
 void Worker::handle_response(std::uint64_t heartbeat, std::uint64_t incarnation, double sent_at,
                              const HttpResponse& response) {
-  if (in_flight_ != heartbeat) return;  // this heartbeat has timed out
+  if (in_flight_ != heartbeat) return execute_duplicate(incarnation, sent_at, response);
   in_flight_ = 0;
   if (response.status == 421) return handle_redirect(response);
   if (response.status != 200) return try_next_controller();
@@ -155,7 +155,7 @@
   const std::uint64_t token = root.at("baton");
   send_heartbeat_after(timing_.heartbeat_interval *
                        queue_.uniform(min_interval_factor, max_interval_factor));
-  if (token < token_ || incarnation != incarnation_) return;
+  if (!accepts(incarnation, token)) return;
   const bool is_newer = token > token_;
   token_ = token;
   lease_renewed_at_ = sent_at;
@@ -163,6 +163,16 @@
   if (is_newer) send_heartbeat_on_change();
 }
 
+// PROTOCOL: commands in a response are never executed late, since the worker drops responses after
+// its timeout. A duplicate within that time is executed while token and incarnation match.
+void Worker::execute_duplicate(std::uint64_t incarnation, double sent_at,
+                               const HttpResponse& response) {
+  if (queue_.now() - sent_at > response_timeout.count() || response.status != 200) return;
+  const Json root = protocol::parse_object(response.body);
+  if (!accepts(incarnation, root.at("baton"))) return;
+  for (const Json& command : root.at("orders")) execute(command);
+}
+
 void Worker::execute(const Json& command) {
   const std::string verb = command.at("verb");
   const std::string task_name = command.at("piece");
--- a/tests/simulation/worker.hpp
+++ b/tests/simulation/worker.hpp
@@ -71,6 +71,11 @@
   std::string encode_heartbeat();
   void handle_response(std::uint64_t heartbeat, std::uint64_t incarnation, double sent_at,
                        const transport::HttpResponse& response);
+  void execute_duplicate(std::uint64_t incarnation, double sent_at,
+                         const transport::HttpResponse& response);
+  bool accepts(std::uint64_t incarnation, std::uint64_t token) const {
+    return token >= token_ && incarnation == incarnation_;
+  }
   void handle_redirect(const transport::HttpResponse& response);
   void try_next_controller();
   void execute(const Json& command);
--- a/tests/unit/heartbeat_handler_test.cpp
+++ b/tests/unit/heartbeat_handler_test.cpp
@@ -1,5 +1,7 @@
 #include "coordination/leader/heartbeat_handler.hpp"
 
+#include "constants.hpp"
+#include "coordination/leader/heartbeat_responder.hpp"
 #include "unit/leader_parts_fixture.hpp"
 
 namespace poppystile::coordination {
@@ -79,6 +81,24 @@
   EXPECT_EQ(machine.placements.size(), 1u);
 }
 
+// Guards against a copy of a start command that reaches a worker after it has forgotten the
+// attempt: the task would run again, beside its next attempt on another machine.
+TEST_F(HeartbeatHandlerTest, ExitedTaskIsKeptWhileACopyOfItsStartMayBeExecuted) {
+  Machine& machine = add_machine("a1");
+  const Placement placement = place(machine, add_job("req-1", JobKind::array, 1));
+  HeartbeatResponder(caller, cluster_state, election, journal)
+      .respond(machine, heartbeat(machine, 1), {}, false, [](const transport::HttpResponse&) {});
+  auto received = heartbeat(machine, 2);
+  received.tasks = {reported(placement, TaskState::exited, ExitCause::error)};
+  EXPECT_TRUE(handler.process(machine, received).empty());
+  EXPECT_TRUE(machine.placements.empty());
+  advance(constants::worker_response_timeout + Seconds{0.1});
+  received.sequence = 3;
+  const auto commands = handler.process(machine, received);
+  ASSERT_EQ(commands.size(), 1u);
+  EXPECT_EQ(commands[0].op, Command::Op::forget);
+}
+
 TEST_F(HeartbeatHandlerTest, PreemptionNoticeStopsServicesAtOnceAndOtherTasksInTime) {
   Machine& machine = add_machine("a1");
   place(machine, add_job("req-1", JobKind::service, 1));
