--- a/src/planning/array_batch.cpp
+++ b/src/planning/array_batch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "constants.hpp"
@@ -71,7 +72,11 @@
   struct ZoneCapacity {
     std::uint32_t free_tasks = 0;
     std::int64_t concurrent_tasks = 0;
-    auto operator<=>(const ZoneCapacity&) const = default;
+
+    bool operator<(const ZoneCapacity& other) const {
+      return std::tie(free_tasks, concurrent_tasks) <
+             std::tie(other.free_tasks, other.concurrent_tasks);
+    }
   };
   std::map<std::string, ZoneCapacity> capacity_by_zone;
   for (const auto& slot : draft_.slots()) {
